--- a/src/admin/read.rs
+++ b/src/admin/read.rs
@@ -12,7 +12,7 @@
 use crate::configuration::{AUDIT_PREFIX, AuditRecord, VersionedConfiguration, audit_key};
 use crate::fleet::FleetContext;
 use crate::ids::{ConfigurationVersion, OperatorId};
-use crate::platform::TableService;
+use crate::store::TableService;
 
 /// Most audit records in one answer.
 const AUDIT_LIMIT: usize = 1000;
--- a/src/agent/claims.rs
+++ b/src/agent/claims.rs
@@ -19,8 +19,8 @@
 use crate::decision::retry::pause_before;
 use crate::ids::AttemptId;
 use crate::lifecycle::request::RequestTicket;
-use crate::platform::{ClaimKey, ClaimTable, StoreSignal, claim_key};
 use crate::protocol::{AnswerHead, RequestContent, RunRefusal, replay_head};
+use crate::store::{ClaimKey, ClaimTable, StoreSignal, claim_key};
 
 /// Time for which the end of an answer is held back until its outcome is stored. A repeat that
 /// comes right after the answer then finds the outcome; when the store is slower, the answer goes
--- a/src/agent/control.rs
+++ b/src/agent/control.rs
@@ -28,11 +28,11 @@
 use crate::fleet::{FleetEvent, run_fleet_loop};
 use crate::ids::RequestId;
 use crate::lifecycle::request::{OfferedRequest, RequestTicket};
-use crate::platform::StoreSignal;
 use crate::protocol::{
     AgentLoad, AgentNotice, NoticeKind, OfferBatch, OfferRefusal, OfferReply, RefusedOffer,
     RequestOffer,
 };
+use crate::store::StoreSignal;
 use crate::supervisor::{ControlInbox, StopSignal, run_control_thread};
 
 /// Lowest HTTP status that says that the upstream failed.
--- a/src/agent/events.rs
+++ b/src/agent/events.rs
@@ -9,8 +9,8 @@
 use crate::decision::quarantine::{RequestFingerprint, SuspectRecord};
 use crate::exchange::ExchangeEvent;
 use crate::ids::{FencingNumber, RequestId, VersionId};
-use crate::platform::StoreSignal;
 use crate::protocol::{OfferBatch, OfferReply, OrderMessage, OrderReply};
+use crate::store::StoreSignal;
 
 /// Something that the control thread must know.
 #[derive(Debug)]
--- a/src/agent/exchange.rs
+++ b/src/agent/exchange.rs
@@ -13,7 +13,7 @@
 use crate::decision::agent_queue::AgentQueue;
 use crate::exchange::{ExchangeControl, ExchangeEvent, carry_reports, exchange_members};
 use crate::ids::{AccountKey, TeamId};
-use crate::platform::VmList;
+use crate::store::VmList;
 use crate::supervisor::{ControlInbox, StopSignal};
 
 /// Carries reports until `stop` is cancelled.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -39,10 +39,10 @@
 use crate::in_flight::InFlightCounter;
 use crate::lifecycle::daemon::{ReadyWatch, StartingDaemon};
 use crate::metrics::MetricsClient;
-use crate::platform::{ClaimTable, HttpTable, HttpVmList, QuarantineTable, VmRole};
 use crate::protocol::{NodelayListener, PeerClient, VersionExchange};
 use crate::server::ListenerSlot;
 use crate::settings::{ProcessSettings, UpstreamSettings};
+use crate::store::{ClaimTable, HttpTable, HttpVmList, QuarantineTable, VmRole};
 use crate::supervisor::{ChildSpec, ControlInbox, StopSignal, SupervisorTree};
 
 pub use answers::{AnswerBuffer, AnswerStore};
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -15,8 +15,8 @@
 use crate::decision::lease::OrderFence;
 use crate::ids::{FencingNumber, VersionId};
 use crate::jobs::read_fencing;
-use crate::platform::PlatformClient;
 use crate::protocol::{OrderMessage, OrderReply, UpstreamOrder};
+use crate::store::PlatformClient;
 use crate::supervisor::StopSignal;
 
 /// Interval at which the upstream is asked for the version that it runs.
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -21,8 +21,8 @@
 use crate::ids::{AttemptId, RequestId, ServiceId, TeamId, format_request_id};
 use crate::lifecycle::request::{ClaimedRequest, OfferedRequest, RunPermit};
 use crate::metrics::{MetricLabel, names};
-use crate::platform::{ClaimKey, TrialVerdict};
 use crate::protocol::{FetchReply, FetchRequest, RequestContent, RunFailure, RunRefusal, RunState};
+use crate::store::{ClaimKey, TrialVerdict};
 
 /// Attempts to fetch a granted request whose reply was lost.
 const FETCH_ATTEMPTS: u32 = 3;
--- a/src/configuration/commit.rs
+++ b/src/configuration/commit.rs
@@ -14,7 +14,7 @@
 use super::{AUDIT_PREFIX, CONFIGURATION_ROW, HEAD_ROW};
 use crate::findings::FindingList;
 use crate::ids::ConfigurationVersion;
-use crate::platform::{RowCondition, RowWrite, TableService, TransactionOutcome};
+use crate::store::{RowCondition, RowWrite, TableService, TransactionOutcome};
 
 /// Attempts to find out what became of a write whose reply was lost.
 const READ_BACK_ATTEMPTS: u32 = 5;
--- a/src/configuration/source.rs
+++ b/src/configuration/source.rs
@@ -9,7 +9,7 @@
 use super::{CONFIGURATION_ROW, HEAD_ROW};
 use crate::findings::FindingList;
 use crate::ids::ConfigurationVersion;
-use crate::platform::TableService;
+use crate::store::TableService;
 
 /// Failure to read the configuration.
 #[derive(Debug, Display, Error)]
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -16,8 +16,8 @@
 use crate::decision::account_links::{ExchangeCall, ExchangeReply};
 use crate::decision::account_tree::ExchangeMember;
 use crate::ids::Incarnation;
-use crate::platform::{VmEntry, VmState};
 use crate::protocol::{AccountReport, PeerClient, encode_message};
+use crate::store::{VmEntry, VmState};
 use crate::supervisor::{ControlInbox, StopSignal};
 
 /// Time limit of a report; two lost ones make another node take over.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -19,8 +19,8 @@
 use crate::decision::membership::{ListedState, MemberEvent, MembershipView};
 use crate::decision::rendezvous::rendezvous_rank;
 use crate::ids::{ConfigurationVersion, NodeId};
-use crate::platform::{VmEntry, VmRole, VmState};
 use crate::protocol::{HeardVersion, NodeCard, NodeHello};
+use crate::store::{VmEntry, VmRole, VmState};
 
 /// Interval between two rounds of hellos.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -7,8 +7,8 @@
 use crate::configuration::VersionedConfiguration;
 use crate::decision::configuration_gate::VersionSource;
 use crate::ids::{ConfigurationVersion, NodeId};
-use crate::platform::VmEntry;
 use crate::protocol::NodeHello;
+use crate::store::VmEntry;
 
 /// Something that the fleet's part of the control thread must know.
 #[derive(Debug)]
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,9 +23,9 @@
 use crate::decision::membership::MemberExclusion;
 use crate::ids::{ConfigurationVersion, DataCentreId, Incarnation, NodeId, VersionId};
 use crate::lifecycle::daemon::{ReadyState, ReadyWatch};
-use crate::platform::{HttpTable, HttpVmList, VmLabels, VmRole};
 use crate::protocol::{NodeCard, PeerClient, VersionExchange};
 use crate::settings::ProcessSettings;
+use crate::store::{HttpTable, HttpVmList, VmLabels, VmRole};
 use crate::supervisor::{ControlInbox, StopSignal};
 
 pub use events::FleetEvent;
--- a/src/fleet/tasks.rs
+++ b/src/fleet/tasks.rs
@@ -10,8 +10,8 @@
 use crate::configuration::{VersionedConfiguration, read_configuration, read_version};
 use crate::decision::configuration_gate::{NO_VERSION, VersionSource};
 use crate::ids::{ConfigurationVersion, NodeId};
-use crate::platform::VmList;
 use crate::protocol::{ConfigurationRequest, NodeHello};
+use crate::store::VmList;
 
 /// Time limit of a hello; shorter than its interval, so that each round has an outcome.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(800);
--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -8,7 +8,7 @@
 use crate::decision::lease::{LeaseClaim, LeaseHolder, LeaseRow, LeaseWaiter, RowVersion};
 use crate::fleet::FleetContext;
 use crate::ids::{FencingNumber, NodeId};
-use crate::platform::{RowCondition, RowWrite, TableRow, TableService, TransactionOutcome};
+use crate::store::{RowCondition, RowWrite, TableRow, TableService, TransactionOutcome};
 
 /// Name of the lease of the job that drives version moves.
 pub const MOVES_LEASE: &str = "lease/moves";
--- a/src/jobs/moves.rs
+++ b/src/jobs/moves.rs
@@ -12,8 +12,8 @@
 use crate::fleet::{FleetContext, FleetMember, MemberList};
 use crate::ids::{Incarnation, MoveId, NodeId, RouteId};
 use crate::lifecycle::version_move::MoveState;
-use crate::platform::VmRole;
 use crate::protocol::{EvidenceReply, EvidenceRequest, RouteEvidence};
+use crate::store::VmRole;
 
 /// Time limit of a question to a router.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/protocol/fleet_messages.rs
+++ b/src/protocol/fleet_messages.rs
@@ -11,7 +11,7 @@
     ConfigurationVersion, DataCentreId, FencingNumber, Incarnation, MoveId, NodeId, RouteId,
     VersionId,
 };
-use crate::platform::{VmLabels, VmRole};
+use crate::store::{VmLabels, VmRole};
 
 /// What a process says about itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/router/admit.rs
+++ b/src/router/admit.rs
@@ -18,8 +18,8 @@
 use crate::ids::{RequestId, RouteId, TeamId, format_request_id};
 use crate::lifecycle::daemon::ReadyState;
 use crate::lifecycle::request::RequestTicket;
-use crate::platform::claim_key;
 use crate::protocol::{HeaderField, RequestContent};
+use crate::store::claim_key;
 
 /// Longest time for which the body of a refused request is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/router/control.rs
+++ b/src/router/control.rs
@@ -27,11 +27,11 @@
 use crate::ids::{RequestId, UpstreamId, format_request_id};
 use crate::jobs::run_job_loop;
 use crate::lifecycle::request::AnsweredRequest;
-use crate::platform::VmRole;
 use crate::protocol::{
     AgentLoad, AgentNotice, FetchReply, FetchRequest, NoticeKind, RequestContent,
 };
 use crate::report::{BurnRecorder, MOST_ENTRIES, ServiceObservation};
+use crate::store::VmRole;
 use crate::supervisor::{ControlInbox, StopSignal, run_control_thread};
 
 /// Interval at which waiting requests are looked at again.
--- a/src/router/membership.rs
+++ b/src/router/membership.rs
@@ -5,7 +5,7 @@
 use super::RouterContext;
 use super::events::RouterEvent;
 use crate::exchange::{ExchangeEvent, exchange_members};
-use crate::platform::VmList;
+use crate::store::VmList;
 use crate::supervisor::StopSignal;
 
 /// Polls until `stop` is cancelled.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -40,10 +40,10 @@
 use crate::in_flight::InFlightCounter;
 use crate::lifecycle::daemon::{ReadyWatch, StartingDaemon};
 use crate::metrics::MetricsClient;
-use crate::platform::{ClaimTable, HttpTable, HttpVmList, QuarantineTable, VmRole};
 use crate::protocol::{NodelayListener, PeerClient, VersionExchange};
 use crate::server::{ListenerSlot, load_acceptor};
 use crate::settings::ProcessSettings;
+use crate::store::{ClaimTable, HttpTable, HttpVmList, QuarantineTable, VmRole};
 use crate::supervisor::{ChildSpec, ControlInbox, StopSignal, SupervisorTree};
 
 use body_budget::BodyBudget;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -25,8 +25,8 @@
 use crate::ids::{AttemptId, RequestId, RouteId, ServiceId, TeamId, UpstreamId, format_request_id};
 use crate::lifecycle::request::RequestTicket;
 use crate::metrics::names;
-use crate::platform::ClaimKey;
 use crate::protocol::{AnswerHead, RunFailure, RunRefusal, RunState};
+use crate::store::ClaimKey;
 
 /// Longest time for which the outcome of a lost attempt is looked for in its claim row.
 const SETTLE_LIMIT: Duration = Duration::from_secs(10);
--- a/tests/testsuite/edge.rs
+++ b/tests/testsuite/edge.rs
@@ -6,12 +6,12 @@
 use bytes::Bytes;
 use futures::stream;
 use godwitcrank::agent::EventScanner;
-use godwitcrank::platform::decode_claim;
 use godwitcrank::protocol::{
     AnswerAcknowledgement, AnswerEvent, AnswerFrame, AnswerReader, CancelRequest, FetchReply,
     FetchRequest, OfferBatch, OfferReply, SuspectNotice, decode_message, encode_frame,
     encode_message,
 };
+use godwitcrank::store::decode_claim;
 use godwitcrank_standin::engine::completion_text;
 use godwitcrank_standin::fleet::{FleetCall, FleetPlan};
 use googletest::prelude::*;
