--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,6 +11,7 @@
 use viz::{Body, Request, Router};
 
 use crate::agent::AgentDaemon;
+use crate::gateway::{GatewayDaemon, GatewayEdge, GatewaySettings};
 use crate::lifecycle::daemon::{ReadyState, ReadyWatch};
 use crate::logging::start_logging;
 use crate::router::RouterDaemon;
@@ -101,6 +102,53 @@
     })
 }
 
+/// Runs a gateway until a stop signal and returns its exit code.
+///
+/// `reload` reads the settings again at SIGHUP.
+pub fn run_gateway<E: GatewayEdge>(
+    settings: GatewaySettings,
+    edge: E,
+    reload: impl Fn() -> Result<GatewaySettings, String> + Send + 'static,
+) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let outcome = runtime.wrap_err("cannot build the traffic runtime").and_then(|runtime| {
+        runtime.block_on(async move {
+            let stop = StopSignal::new();
+            watch_signals(stop.clone())?;
+            watch_reload(settings.clone(), reload)?;
+            GatewayDaemon::bind(settings, edge).await?.run(stop).await
+        })
+    });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!("stopped after a failure: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads the settings again at SIGHUP and says whether a restart is needed for them.
+fn watch_reload(
+    mut settings: GatewaySettings,
+    reload: impl Fn() -> Result<GatewaySettings, String> + Send + 'static,
+) -> eyre::Result<()> {
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot watch SIGHUP")?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            match reload() {
+                Ok(read) if read == settings => log::info!("settings reloaded; nothing changed"),
+                Ok(read) => {
+                    log::warn!(settings:? = read; "settings changed; they apply after a restart");
+                    settings = read;
+                }
+                Err(error) => log::error!("settings not reloaded; the old ones stay: {error}"),
+            }
+        }
+    });
+    Ok(())
+}
+
 fn print_report(report: &ListenReport) -> eyre::Result<()> {
     println!("{}", serde_json::to_string(report)?);
     Ok(())
@@ -132,7 +180,7 @@
 }
 
 /// Response of `/readyz`: 200 while serving, else 503 with the state.
-fn ready_response(watch: &ReadyWatch) -> Response<Body> {
+pub fn ready_response(watch: &ReadyWatch) -> Response<Body> {
     let state = *watch.borrow();
     let mut response = Response::new(Body::from(http_body_util::Full::from(state.to_string())));
     if state != ReadyState::Serving {
--- /dev/null
+++ b/src/decision/direct/mod.rs
@@ -0,0 +1,22 @@
+//! Rules of the direct path, where a router sends calls straight to upstreams.
+//!
+//! [`DirectDispatcher`] holds the waiting calls, what every upstream has been given by this router
+//! and by its peers, and the shares of the budgets that bind all routers together.
+
+mod call;
+mod dispatcher;
+mod load;
+mod peers;
+mod suspects;
+mod team_use;
+mod version_trial;
+mod window;
+
+pub use call::{ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptPart, PromptShape, RefusalCause};
+pub use dispatcher::{DirectDispatcher, FleetBounds, trial_counts};
+pub use load::{ColdPace, PromptMemory, UpstreamLoad};
+pub use peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
+pub use suspects::SuspectList;
+pub use team_use::TeamUse;
+pub use version_trial::{MoveVerdict, TrialStage, VersionTrial};
+pub use window::{RepeatBudget, SlidingCount};
--- /dev/null
+++ b/src/decision/direct/team_use.rs
@@ -0,0 +1,59 @@
+//! Recent use of the fleet by each team.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use crate::ids::TeamId;
+
+/// Time in which a team's recorded use falls to half.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Use below which a team is forgotten, in tokens.
+const FORGOTTEN_USE: f64 = 1.0;
+
+/// Use of each team that fades with time, so that teams are compared over the last seconds.
+#[derive(Clone, Debug, Default)]
+pub struct TeamUse {
+    uses: IndexMap<TeamId, FadingUse>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FadingUse {
+    tokens: f64,
+    at: Instant,
+}
+
+impl FadingUse {
+    fn faded(&self, now: Instant) -> f64 {
+        let age = now.duration_since(self.at).as_secs_f64();
+        self.tokens * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+}
+
+impl TeamUse {
+    /// Adds work to a team's use.
+    pub fn add(&mut self, team: &TeamId, tokens: f64, now: Instant) {
+        let held = self.uses.get(team).map_or(0.0, |held| held.faded(now));
+        self.uses.insert(TeamId::clone(team), FadingUse { tokens: held + tokens, at: now });
+    }
+
+    /// Recent use of a team in tokens.
+    pub fn of(&self, team: &str, now: Instant) -> f64 {
+        self.uses.get(team).map_or(0.0, |held| held.faded(now))
+    }
+
+    /// Lists the teams with recent use, and forgets the others.
+    pub fn list(&mut self, now: Instant) -> Vec<(TeamId, f64)> {
+        self.uses.retain(|_, held| held.faded(now) >= FORGOTTEN_USE);
+        self.uses.iter().map(|(team, held)| (TeamId::clone(team), held.faded(now))).collect()
+    }
+
+    /// Replaces all uses, as received from a peer at `now`.
+    pub fn replace(&mut self, uses: &[(TeamId, f64)], now: Instant) {
+        self.uses = uses
+            .iter()
+            .map(|(team, tokens)| (TeamId::clone(team), FadingUse { tokens: *tokens, at: now }))
+            .collect();
+    }
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -16,6 +16,7 @@
 pub mod claim_outcome;
 pub mod configuration_gate;
 pub mod contacts;
+pub mod direct;
 pub mod dispatch;
 pub mod fair_queue;
 pub mod isolation;
--- /dev/null
+++ b/src/event_log.rs
@@ -0,0 +1,102 @@
+//! Bounded log output: lines go to standard output from a thread of their own, and never hold
+//! the writing code up.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant};
+
+/// Lines that wait for the output.
+const QUEUE_LINES: usize = 4096;
+
+/// Lines and bytes of one second; beyond either, lines are dropped and counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogBounds {
+    /// Lines in a second.
+    pub lines: u32,
+    /// Bytes in a second.
+    pub bytes: usize,
+}
+
+impl Default for LogBounds {
+    fn default() -> Self {
+        Self { lines: 600, bytes: 256 << 10 }
+    }
+}
+
+/// Writer that hands each line to the output thread or drops it.
+#[derive(Debug)]
+pub struct LineWriter {
+    queue: SyncSender<Vec<u8>>,
+    bounds: LogBounds,
+    second: Instant,
+    lines: u32,
+    bytes: usize,
+    dropped: u64,
+}
+
+impl LineWriter {
+    /// Starts the output thread over `output`.
+    pub fn start(output: impl Write + Send + 'static, bounds: LogBounds) -> io::Result<Self> {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(output, &lines))?;
+        let second = Instant::now();
+        Ok(Self { queue, bounds, second, lines: 0, bytes: 0, dropped: 0 })
+    }
+
+    fn offer(&mut self, line: Vec<u8>) {
+        let now = Instant::now();
+        if now.duration_since(self.second) >= Duration::from_secs(1) {
+            self.second = now;
+            self.lines = 0;
+            self.bytes = 0;
+            self.report_dropped();
+        }
+        if self.lines >= self.bounds.lines || self.bytes + line.len() > self.bounds.bytes {
+            self.dropped += 1;
+            return;
+        }
+        self.lines += 1;
+        self.bytes += line.len();
+        self.send(line);
+    }
+
+    fn report_dropped(&mut self) {
+        let dropped = std::mem::take(&mut self.dropped);
+        if dropped > 0 {
+            self.send(format!("WARN log lines dropped count={dropped}\n").into_bytes());
+        }
+    }
+
+    fn send(&mut self, line: Vec<u8>) {
+        match self.queue.try_send(line) {
+            Ok(()) => {}
+            // The reader of the output is slow, or the output is closed.
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped += 1,
+        }
+    }
+}
+
+impl Write for LineWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.offer(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the queue or the output is closed; lines that wait are written together.
+fn write_lines(mut output: impl Write, lines: &Receiver<Vec<u8>>) {
+    while let Ok(mut batch) = lines.recv() {
+        while let Ok(line) = lines.try_recv() {
+            batch.extend_from_slice(&line);
+        }
+        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/caller.rs
@@ -0,0 +1,353 @@
+//! Callers' connections: accepts them, reads calls and hands each to its run.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::{HeaderValue, Request, Response, request};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, watch};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::GatewayContext;
+use super::call_run::{CallRun, CallSubject};
+use super::edge::{CallDialect, CallHead, GatewayEdge, GatewayRefusal};
+use super::events::ControlEvent;
+use super::pool::set_timeouts;
+use super::relay::{AnswerBody, whole_body};
+use super::tracked_body::TrackedBody;
+use crate::decision::direct::RefusalCause;
+use crate::ids::CallFingerprint;
+use crate::lifecycle::daemon::{ServingDaemon, StartingDaemon};
+use crate::routing::{CallerLimits, RouteMatch, RouteTable, draw_target};
+use crate::supervisor::StopSignal;
+
+/// Time after the stop signal for which new connections are accepted: the balancer needs two
+/// missed probes, a second apart, to take a router out.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3600);
+
+/// Time before the process is killed at which the remaining connections are given up.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Limits on callers before a configuration is known.
+const INITIAL_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+
+/// When callers should come back to a router that has no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+
+/// Unit of memory in which calls are counted, in bytes.
+pub const SPACE_UNIT: usize = 1024;
+
+/// Memory of one call besides its body, in units: connection buffers and the call's state.
+pub const CALL_UNITS: usize = 24;
+
+/// How far a stop has come, as connections see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DrainStage {
+    Serving,
+    /// Connections are closed after the call that they carry.
+    Draining,
+    /// Idle connections are closed too.
+    Closing,
+}
+
+/// The daemon's life cycle; the first run of the server takes it.
+pub type LifeSlot = Arc<tokio::sync::Mutex<Option<StartingDaemon>>>;
+
+/// Serves callers until `stop` is cancelled and the last call has ended.
+pub async fn serve<E: GatewayEdge>(
+    context: Arc<GatewayContext<E>>,
+    listener: Arc<TcpListener>,
+    life: LifeSlot,
+    stop: StopSignal,
+) -> eyre::Result<()> {
+    let (stage, stage_watch) = watch::channel(DrainStage::Serving);
+    let accepting = accept_callers(&context, &listener, stage_watch);
+    let serving = async {
+        let serving = start_serving(&context, &life, &stop).await;
+        stop.cancelled().await;
+        serving
+    };
+    tokio::pin!(accepting);
+    let serving = tokio::select! {
+        accepted = &mut accepting => { accepted?; None }
+        serving = serving => serving,
+    };
+    let stopped = Instant::now();
+    let draining = serving.map(|serving| serving.drain(stopped));
+    context.tell(ControlEvent::Leaving);
+    stage.send_replace(DrainStage::Draining);
+    log::info!(calls = context.in_flight.count(); "draining");
+    let _ = tokio::time::timeout(ACCEPT_AFTER_STOP, &mut accepting).await;
+    stage.send_replace(DrainStage::Closing);
+    let left = context.settings.stop_grace.saturating_sub(ACCEPT_AFTER_STOP + STOP_MARGIN);
+    if tokio::time::timeout(left, context.in_flight.wait_idle()).await.is_err() {
+        log::warn!(calls = context.in_flight.count(); "stopped before all calls ended");
+    }
+    if let Some(draining) = draining {
+        let ended = draining.close(Instant::now());
+        log::info!(drained_in:? = ended.drained_in(); "stopped");
+    }
+    Ok(())
+}
+
+/// Reports the daemon as ready once a configuration is known.
+async fn start_serving<E: GatewayEdge>(
+    context: &GatewayContext<E>,
+    life: &LifeSlot,
+    stop: &StopSignal,
+) -> Option<ServingDaemon> {
+    let mut table = context.table.clone();
+    tokio::select! {
+        () = stop.cancelled() => return None,
+        known = table.wait_for(Option::is_some) => {
+            known.ok()?;
+        }
+    }
+    let starting = life.lock().await.take()?;
+    log::info!("ready");
+    Some(starting.serve())
+}
+
+async fn accept_callers<E: GatewayEdge>(
+    context: &Arc<GatewayContext<E>>,
+    listener: &TcpListener,
+    stage: watch::Receiver<DrainStage>,
+) -> eyre::Result<()> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = Arc::clone(context);
+                tokio::spawn(serve_connection(context, stream, stage.clone()));
+            }
+            Err(error) => {
+                // Descriptors may be used up for a moment; connections that end free them.
+                log::warn!("cannot accept a connection: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<E: GatewayEdge>(
+    context: Arc<GatewayContext<E>>,
+    stream: TcpStream,
+    mut stage: watch::Receiver<DrainStage>,
+) {
+    if let Err(error) = set_timeouts(&stream) {
+        log::debug!("caller's connection ended before it was set up: {error}");
+        return;
+    }
+    let limits = context.limits();
+    let service = {
+        let stage = stage.clone();
+        let context = Arc::clone(&context);
+        service_fn(move |request| {
+            let context = Arc::clone(&context);
+            let draining = *stage.borrow() != DrainStage::Serving;
+            async move {
+                let work = context.in_flight.enter();
+                let mut answer = handle(Arc::clone(&context), request).await;
+                if draining {
+                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, work)))
+            }
+        })
+    };
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time + limits.head_time)
+        .max_buf_size(limits.head_bytes.max(8192) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = async {
+        // The stage's sender lives until the server has ended, and the connection with it.
+        let _ = stage.wait_for(|stage| *stage == DrainStage::Closing).await;
+    };
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        _ = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("caller's connection ended: {error}");
+    }
+}
+
+/// Answers one call.
+async fn handle<E: GatewayEdge>(
+    context: Arc<GatewayContext<E>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    match admit(&context, head, body, arrived).await {
+        Ok(subject) => CallRun::new(context, subject).answer().await,
+        Err(refusal) => {
+            context.metrics.count_call(format!("refused {}", refusal.status().as_u16()));
+            context.edge.dialect().refuse(&refusal).map(whole_body)
+        }
+    }
+}
+
+/// Checks a call and reads its body.
+async fn admit<E: GatewayEdge>(
+    context: &GatewayContext<E>,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<CallSubject, GatewayRefusal> {
+    let table = context.table.borrow().clone();
+    let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
+    let limit = context.limits().body_bytes;
+    let (body, space) = read_body(context, &head, body, limit).await?;
+    let table = table?;
+    let facts = context
+        .edge
+        .dialect()
+        .read_head(&head)
+        .map_err(|error| log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem }))?;
+    let (route, team) = find_route(&table, &head, &facts)?;
+    let service = draw_target(&route, &facts.attempt)
+        .ok_or(GatewayRefusal::UnknownRoute { version: table.version() })?;
+    let fingerprint = fingerprint(&head, &facts, &body);
+    let id = context.calls.fetch_add(1, Ordering::Relaxed);
+    Ok(CallSubject {
+        id,
+        head,
+        facts,
+        route,
+        service,
+        team,
+        body,
+        space: Some(space),
+        fingerprint,
+        arrived,
+    })
+}
+
+fn find_route(
+    table: &RouteTable,
+    head: &request::Parts,
+    facts: &CallHead,
+) -> Result<(Arc<crate::routing::RouteEntry>, Option<crate::ids::TeamId>), GatewayRefusal> {
+    let host = head
+        .uri
+        .host()
+        .or_else(|| head.headers.get(HOST).and_then(|host| host.to_str().ok()))
+        .unwrap_or_default();
+    let version = table.version();
+    match table.find(host, head.uri.path(), facts.key.as_deref()) {
+        RouteMatch::Allowed { route, team } => Ok((route, team)),
+        RouteMatch::Unknown => {
+            Err(log_refusal(head, GatewayRefusal::UnknownRoute { version }))
+        }
+        RouteMatch::Denied { .. } => Err(log_refusal(head, GatewayRefusal::UnknownKey { version })),
+    }
+}
+
+/// Writes why a call was refused before it had a run of its own.
+fn log_refusal(head: &request::Parts, refusal: GatewayRefusal) -> GatewayRefusal {
+    log::info!(path = head.uri.path(), refusal:? = refusal; "call refused");
+    refusal
+}
+
+/// Reads the whole body; a refused call's body is read and dropped, so that the caller gets the
+/// refusal and not a reset.
+async fn read_body<E: GatewayEdge>(
+    context: &GatewayContext<E>,
+    head: &request::Parts,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<(Bytes, OwnedSemaphorePermit), GatewayRefusal> {
+    let stated = head
+        .headers
+        .get(CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok())
+        .and_then(|length| length.parse::<usize>().ok())
+        .or_else(|| body.size_hint().exact().and_then(|size| usize::try_from(size).ok()));
+    let no_space = || GatewayRefusal::NotRun {
+        cause: RefusalCause::NoCapacity,
+        retry_after: NOT_READY_RETRY,
+    };
+    let mut refusal = None;
+    let mut space = reserve(context, CALL_UNITS * SPACE_UNIT + stated.unwrap_or_default());
+    let mut held = BytesMut::with_capacity(stated.unwrap_or_default().min(limit));
+    let mut single: Option<Bytes> = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(GatewayRefusal::BadHead { problem: "the body ended early".to_owned() });
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        let length = held.len() + single.as_ref().map_or(0, Bytes::len) + data.len();
+        if length > limit {
+            refusal = Some(GatewayRefusal::BodyTooLarge { limit });
+        }
+        if stated.is_none()
+            && let Some(permit) = &mut space
+        {
+            match reserve(context, data.len()) {
+                Some(more) => permit.merge(more),
+                None => space = None,
+            }
+        }
+        if refusal.is_some() || space.is_none() {
+            held = BytesMut::new();
+            single = None;
+            continue;
+        }
+        if held.is_empty() && single.is_none() && stated == Some(data.len()) {
+            single = Some(data);
+        } else {
+            held.extend_from_slice(&data);
+        }
+    }
+    match (refusal, space) {
+        (Some(refusal), _) => Err(refusal),
+        (None, None) => Err(no_space()),
+        (None, Some(space)) => Ok((single.unwrap_or_else(|| held.freeze()), space)),
+    }
+}
+
+fn reserve<E: GatewayEdge>(
+    context: &GatewayContext<E>,
+    bytes: usize,
+) -> Option<OwnedSemaphorePermit> {
+    let units = u32::try_from(bytes.div_ceil(SPACE_UNIT)).ok()?;
+    Arc::clone(&context.space).try_acquire_many_owned(units).ok()
+}
+
+/// Hash by which a call that ends its upstreams is known when it comes again.
+fn fingerprint(head: &request::Parts, facts: &CallHead, body: &[u8]) -> CallFingerprint {
+    let mut hash = Xxh3::new();
+    hash.update(head.uri.path().as_bytes());
+    hash.update(facts.key.as_deref().unwrap_or_default().as_bytes());
+    hash.update(body);
+    hash.digest()
+}
+
+/// Counter of calls.
+pub type CallCounter = AtomicU64;
+
+impl<E: GatewayEdge> GatewayContext<E> {
+    /// Limits on callers in force.
+    fn limits(&self) -> CallerLimits {
+        self.table.borrow().as_ref().map_or(INITIAL_LIMITS, |table| table.limits())
+    }
+}
--- /dev/null
+++ b/src/gateway/observe.rs
@@ -0,0 +1,133 @@
+//! Counters and histograms of the gateway, served as text.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of the calls' counters.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// How the call ended.
+    pub outcome: String,
+}
+
+/// Metrics of one gateway.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Calls by how they ended.
+    pub calls: Family<CallLabels, Counter>,
+    /// Sends to upstreams by outcome.
+    pub sends: Family<CallLabels, Counter>,
+    /// Time to the first event or the answer, in seconds.
+    pub first_event: Histogram,
+    /// Time that calls waited for an upstream, in seconds.
+    pub placement: Histogram,
+    /// Connections opened to upstreams.
+    pub connections: Counter,
+    /// Calls that wait for an upstream.
+    pub waiting: Gauge,
+    /// Calls at upstreams.
+    pub granted: Gauge,
+    /// Routers that may be alive.
+    pub routers: Gauge,
+    /// Version of the configuration in force.
+    pub configuration: Gauge,
+    /// Reports to peers that were dropped since the queue was full.
+    pub reports_dropped: Counter,
+    /// Control events that were dropped since the queue was full.
+    pub events_dropped: Counter<u64, AtomicU64>,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        // From half a millisecond to about eight seconds.
+        let buckets = || Histogram::new(exponential_buckets(0.0005, 2.0, 15));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("godwitcrank"),
+            calls: Family::default(),
+            sends: Family::default(),
+            first_event: buckets(),
+            placement: buckets(),
+            connections: Counter::default(),
+            waiting: Gauge::default(),
+            granted: Gauge::default(),
+            routers: Gauge::default(),
+            configuration: Gauge::default(),
+            reports_dropped: Counter::default(),
+            events_dropped: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl GatewayMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("calls", "Calls by how they ended", self.calls.clone());
+        registry.register("sends", "Sends to upstreams by outcome", self.sends.clone());
+        registry.register(
+            "first_event_seconds",
+            "Time to the first event or the answer",
+            self.first_event.clone(),
+        );
+        registry.register(
+            "placement_seconds",
+            "Time that calls waited for an upstream",
+            self.placement.clone(),
+        );
+        registry.register(
+            "upstream_connections",
+            "Connections opened to upstreams",
+            self.connections.clone(),
+        );
+        registry.register("waiting_calls", "Calls without an upstream", self.waiting.clone());
+        registry.register("granted_calls", "Calls at upstreams", self.granted.clone());
+        registry.register("routers", "Routers that may be alive", self.routers.clone());
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.configuration.clone(),
+        );
+        registry.register(
+            "reports_dropped",
+            "Reports to peers that found the queue full",
+            self.reports_dropped.clone(),
+        );
+        registry.register(
+            "events_dropped",
+            "Control events that found the queue full",
+            self.events_dropped.clone(),
+        );
+    }
+
+    /// Counts the end of a call.
+    pub fn count_call(&self, outcome: impl ToString) {
+        self.calls.get_or_create(&CallLabels { outcome: outcome.to_string() }).inc();
+    }
+
+    /// Counts the end of a send.
+    pub fn count_send(&self, outcome: impl ToString) {
+        self.sends.get_or_create(&CallLabels { outcome: outcome.to_string() }).inc();
+    }
+
+    /// Records a time in a histogram.
+    pub fn observe(histogram: &Histogram, time: Duration) {
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Writes all metrics in the OpenMetrics text format.
+    pub fn render(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,223 @@
+//! Kept connections to upstreams.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use super::observe::GatewayMetrics;
+use crate::ids::UpstreamId;
+
+/// Longest time for a connection to be made: several round trips between data centres.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after which unacknowledged bytes end a connection, so that a connection that went silent
+/// is noticed well before callers give up.
+pub const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(900);
+
+/// Silence after which a connection is probed, and the pause between probes.
+pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Idle time after which a connection is not used again when its upstream states no limit.
+const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Margin before the idle limit that an upstream states.
+const IDLE_MARGIN: Duration = Duration::from_millis(600);
+
+/// Idle connections that are kept to one upstream.
+const IDLE_CONNECTIONS: usize = 40;
+
+/// Read and write buffer of one connection, in bytes; the smallest that hyper allows.
+const BUFFER_BYTES: usize = 8192;
+
+/// Why a call could not be handed to an upstream. Nothing was sent in any of these cases.
+#[derive(Debug, Display, Error)]
+pub enum ConnectError {
+    /// No connection could be made.
+    #[display("cannot connect to {address}: {cause}")]
+    Unreachable {
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// What happened.
+        cause: String,
+    },
+}
+
+/// How sending a call failed.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection ended before the call was written.
+    Unsent,
+    /// The connection ended; the call may have run.
+    Broken(hyper::Error),
+}
+
+/// A connection that runs one call.
+#[derive(Debug)]
+pub struct LeasedConnection {
+    upstream: UpstreamId,
+    sender: SendRequest<Full<Bytes>>,
+    task: ConnectionTask,
+    reused: bool,
+}
+
+/// Ends the connection's task, and so the connection, when dropped.
+#[derive(Debug)]
+struct ConnectionTask(AbortHandle);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: ConnectionTask,
+    address: SocketAddr,
+    since: Instant,
+    until: Instant,
+}
+
+impl LeasedConnection {
+    /// Whether the connection ran other calls before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(SendError::Unsent),
+                None => Err(SendError::Broken(error.into_error())),
+            },
+        }
+    }
+}
+
+/// Kept connections by upstream.
+#[derive(Debug)]
+pub struct UpstreamPool {
+    shelves: Mutex<IndexMap<UpstreamId, Vec<IdleConnection>>>,
+    metrics: Arc<GatewayMetrics>,
+}
+
+impl UpstreamPool {
+    /// Creates an empty pool.
+    pub fn new(metrics: Arc<GatewayMetrics>) -> Self {
+        Self { shelves: Mutex::default(), metrics }
+    }
+
+    /// Takes an idle connection that is not older than `idle_limit`, or makes one.
+    pub async fn lease(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        idle_limit: Duration,
+    ) -> Result<LeasedConnection, ConnectError> {
+        if let Some(leased) = self.take_idle(upstream, address, idle_limit) {
+            return Ok(leased);
+        }
+        self.metrics.connections.inc();
+        connect(upstream, address).await
+    }
+
+    /// Keeps a connection whose call has ended cleanly.
+    pub fn release(&self, leased: LeasedConnection, address: SocketAddr, stated: Option<Duration>) {
+        let limit =
+            stated.map_or(DEFAULT_IDLE_LIMIT, |stated| stated.saturating_sub(IDLE_MARGIN));
+        if leased.sender.is_closed() || limit.is_zero() {
+            return;
+        }
+        let LeasedConnection { upstream, sender, task, .. } = leased;
+        let since = Instant::now();
+        let mut shelves = self.shelves.lock().unwrap_or_else(PoisonError::into_inner);
+        let shelf = shelves.entry(upstream).or_default();
+        if shelf.len() < IDLE_CONNECTIONS {
+            shelf.push(IdleConnection { sender, task, address, since, until: since + limit });
+        }
+    }
+
+    /// Closes the connections that must not be used again.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut shelves = self.shelves.lock().unwrap_or_else(PoisonError::into_inner);
+        for shelf in shelves.values_mut() {
+            shelf.retain(|idle| now < idle.until && !idle.sender.is_closed());
+        }
+        shelves.retain(|_, shelf| !shelf.is_empty());
+    }
+
+    fn take_idle(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        idle_limit: Duration,
+    ) -> Option<LeasedConnection> {
+        let now = Instant::now();
+        let mut shelves = self.shelves.lock().unwrap_or_else(PoisonError::into_inner);
+        let shelf = shelves.get_mut(upstream)?;
+        shelf.retain(|idle| {
+            now < idle.until && idle.address == address && !idle.sender.is_closed()
+        });
+        let index = shelf.iter().rposition(|idle| {
+            idle.sender.is_ready() && now.duration_since(idle.since) < idle_limit
+        })?;
+        let IdleConnection { sender, task, .. } = shelf.remove(index);
+        Some(LeasedConnection { upstream: UpstreamId::clone(upstream), sender, task, reused: true })
+    }
+}
+
+async fn connect(
+    upstream: &UpstreamId,
+    address: SocketAddr,
+) -> Result<LeasedConnection, ConnectError> {
+    let unreachable = |cause: String| ConnectError::Unreachable { address, cause };
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| unreachable(format!("nothing within {CONNECT_TIMEOUT:?}")))?
+        .map_err(|error| unreachable(error.to_string()))?;
+    set_timeouts(&stream).map_err(|error| unreachable(error.to_string()))?;
+    let (sender, connection) = Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| unreachable(error.to_string()))?;
+    let task = tokio::spawn(async move {
+        // The sender reports the error to the call that it concerns.
+        if let Err(error) = connection.await {
+            log::debug!("connection to an upstream ended: {error}");
+        }
+    });
+    let task = ConnectionTask(task.abort_handle());
+    Ok(LeasedConnection { upstream: UpstreamId::clone(upstream), sender, task, reused: false })
+}
+
+/// Makes a connection end by itself when the other end falls silent.
+pub fn set_timeouts(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -54,3 +54,18 @@
 pub fn format_request_id(id: RequestId) -> String {
     format!("{id:032x}")
 }
+
+/// Identifies one call at the router that took it; counts up from the start of the process.
+pub type CallId = u64;
+
+/// Identifies one permission to send a call to an upstream.
+pub type GrantId = u64;
+
+/// Identifies a part of a prompt that several calls may share.
+pub type PromptPartId = u64;
+
+/// Identifies calls with the same path, caller and body.
+pub type CallFingerprint = u64;
+
+/// Position in the store's history of changes; grows with each transaction.
+pub type StoreRevision = u64;
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -1,6 +1,7 @@
 //! Life cycles as separate types: a transition consumes one state and returns the next, so that
 //! a step taken twice or out of order does not compile.
 
+pub mod call;
 pub mod daemon;
 pub mod request;
 pub mod upstream;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -6,12 +6,27 @@
 use log::Record;
 use log::kv::{self, Key, Value, VisitSource};
 
+use crate::event_log::{LineWriter, LogBounds};
+
 /// Starts to log at level `info`, or as the environment variable `RUST_LOG` says.
 pub fn start_logging() {
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env).format(write_record).init();
 }
 
+/// Starts to log to standard output, bounded in lines and bytes and without blocking.
+pub fn start_event_log() {
+    let env = env_logger::Env::default().default_filter_or("info");
+    let mut builder = env_logger::Builder::from_env(env);
+    match LineWriter::start(io::stdout(), LogBounds::default()) {
+        Ok(writer) => {
+            builder.target(env_logger::Target::Pipe(Box::new(writer)));
+        }
+        Err(error) => eprintln!("cannot start the log thread; logging to standard error: {error}"),
+    }
+    builder.format(write_record).init();
+}
+
 fn write_record(formatter: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let timestamp = formatter.timestamp_millis();
     let line = format_record(record);
--- a/src/store/http_client.rs
+++ b/src/store/http_client.rs
@@ -13,6 +13,12 @@
 /// Largest reply that is read into memory, in bytes.
 const REPLY_LIMIT: usize = 64 << 20;
 
+/// Silence after which a connection is probed, and the pause between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection is given up.
+const PROBE_LIMIT: u32 = 1;
+
 /// Failure of a call to the platform.
 #[derive(Debug, Display, Error)]
 pub enum PlatformError {
@@ -89,12 +95,36 @@
         Self { base: base.to_string().trim_end_matches('/').to_owned(), timeout, client }
     }
 
+    /// Notices connections that went silent while a reply is awaited, by keep-alive probes.
+    pub fn probed(mut self) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(self.timeout));
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBE_LIMIT));
+        connector.set_tcp_user_timeout(Some(self.timeout));
+        self.client = Client::builder(TokioExecutor::new()).build(connector);
+        self
+    }
+
     /// Sends one request and reads the whole reply.
     pub async fn send(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
+    ) -> Result<PlatformReply, PlatformError> {
+        self.send_within(method, path, body, self.timeout).await
+    }
+
+    /// Sends one request whose reply may take longer than others.
+    pub async fn send_within(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
     ) -> Result<PlatformReply, PlatformError> {
         let url = format!("{}{path}", self.base);
         let request = Request::builder()
@@ -120,8 +150,8 @@
             let body = body.map_err(|error| lost(error.to_string()))?.to_bytes();
             Ok(PlatformReply { status, body, url: url.clone() })
         };
-        tokio::time::timeout(self.timeout, exchange)
+        tokio::time::timeout(timeout, exchange)
             .await
-            .map_err(|_| lost(format!("nothing within {:?}", self.timeout)))?
+            .map_err(|_| lost(format!("nothing within {timeout:?}")))?
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,7 +9,7 @@
 
 pub use claim_rows::{ClaimKey, ClaimRowError, claim_key, decode_claim, encode_claim};
 pub use claim_table::{ClaimTable, StoreSignal, SweptPage};
-pub use http_client::{PlatformClient, PlatformError};
+pub use http_client::{PlatformClient, PlatformError, PlatformReply};
 pub use quarantine_rows::{QuarantineTable, TrialVerdict};
 pub use table::{
     HttpTable, RowCondition, RowConflict, RowWrite, TableRow, TableService, TransactionOutcome,
