--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -239,13 +239,6 @@
         };
         let silent_at = self.silent_at();
         let request = self.upstream_request(&grant);
-        if !self.subject.route.may_repeat() {
-            // Neither the body nor its memory is needed again.
-            self.subject.body = Bytes::new();
-            if let Some(space) = &mut self.subject.space {
-                drop(space.split(space.num_permits().saturating_sub(CALL_UNITS)));
-            }
-        }
         let sending = tokio::time::timeout_at(silent_at.into(), lease.send(request));
         match sending.await {
             Err(_) => {
@@ -296,6 +289,7 @@
         }
         let is_stream = self.subject.route.kind == CallKind::Stream;
         if is_stream && head.status.is_success() && facts.signed {
+            self.release_body();
             let frames = EventFrames::default();
             let run = call.run();
             let stream = RunningStream { hold, lease, body, frames, grant, facts, run };
@@ -320,6 +314,17 @@
         self.judge_answer(call, hold, &facts, head, body)
     }
 
+    /// Gives the body's memory back once the call runs and cannot run again.
+    fn release_body(&mut self) {
+        if self.subject.route.may_repeat() {
+            return;
+        }
+        self.subject.body = Bytes::new();
+        if let Some(space) = &mut self.subject.space {
+            drop(space.split(space.num_permits().saturating_sub(CALL_UNITS)));
+        }
+    }
+
     /// Decides what a whole answer means for the call.
     fn judge_answer(
         &mut self,
