--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -119,6 +119,9 @@
     /// Calls like it ended the upstreams that ran them.
     #[display("suspect")]
     Suspect,
+    /// The router stops, and the call would not end before it does.
+    #[display("router-leaving")]
+    Leaving,
     /// The router's share of the budget for repeats is used up.
     #[display("repeat-budget")]
     RepeatBudget,
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -6,7 +6,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::call::{ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptShape, RefusalCause};
+use super::call::{
+    ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptShape, RefusalCause,
+};
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable};
 use super::suspects::{CRASH_LIMIT, SuspectList};
@@ -38,11 +40,11 @@
 const PLAIN_CALLS_PER_SLOT: f64 = 1.5;
 
 /// Weight of reading shared parts again beside the wait that it causes.
-const REREAD_WEIGHT: f64 = 1.0;
+const REREAD_WEIGHT: f64 = 8.0;
 
 /// Chance that the first engine in a part's order has kept the part though this router has not
 /// sent it there: its peers prefer the same engine.
-const FIRST_CHOICE_KEPT: f64 = 0.7;
+const FIRST_CHOICE_KEPT: f64 = 0.9;
 
 /// Part of the fleet's bound on calls to a cold upstream that is used.
 const USED_COLD_PART: f64 = 0.8;
@@ -222,8 +224,10 @@
     }
 
     fn update_upstream(&mut self, id: &UpstreamId, entry: &UpstreamEntry, now: Instant) {
-        let cold_period =
-            self.services.get(&entry.service).map_or(Duration::ZERO, |state| state.entry.cold_period);
+        let cold_period = self
+            .services
+            .get(&entry.service)
+            .map_or(Duration::ZERO, |state| state.entry.cold_period);
         let load = self
             .upstreams
             .entry(Arc::clone(id))
@@ -356,11 +360,8 @@
             if now < give_up_at(call) {
                 return None;
             }
-            let cause = if usable.is_empty() {
-                RefusalCause::NoUpstream
-            } else {
-                RefusalCause::NoCapacity
-            };
+            let cause =
+                if usable.is_empty() { RefusalCause::NoUpstream } else { RefusalCause::NoCapacity };
             return refuse(cause);
         };
         if !self.charge_budget(call, now) {
@@ -461,9 +462,10 @@
             {
                 continue;
             }
-            let missing = call.prompt.as_ref().map_or(0, |prompt| {
-                expected_missing(load, prompt, preferred == Some(*index))
-            });
+            let missing = call
+                .prompt
+                .as_ref()
+                .map_or(0, |prompt| expected_missing(load, prompt, preferred == Some(*index)));
             let has_room = match (&call.prompt, service.memory_tokens) {
                 (Some(prompt), Some(memory)) => {
                     model_has_room(load, call, prompt, missing, memory, now)
@@ -653,12 +655,9 @@
     part: u64,
 ) -> Option<usize> {
     let purpose = part.to_string();
-    usable
-        .iter()
-        .copied()
-        .max_by_key(|index| {
-            upstreams.get_index(*index).map(|(id, _)| rendezvous_weight(&purpose, id))
-        })
+    usable.iter().copied().max_by_key(|index| {
+        upstreams.get_index(*index).map(|(id, _)| rendezvous_weight(&purpose, id))
+    })
 }
 
 /// Prompt tokens that the upstream probably has to read.
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -12,7 +12,10 @@
 mod version_trial;
 mod window;
 
-pub use call::{ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptPart, PromptShape, RefusalCause};
+pub use call::{
+    ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptPart, PromptShape,
+    RefusalCause,
+};
 pub use dispatcher::{DirectDispatcher, FleetBounds, trial_counts};
 pub use load::{ColdPace, PromptMemory, UpstreamLoad};
 pub use peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -115,8 +115,7 @@
     /// Takes a report in unless a newer one of the same router is held.
     pub fn record(&mut self, report: PeerReport, now: Instant) -> bool {
         let stale = self.peers.get(&report.node).is_some_and(|held| {
-            (held.report.incarnation, held.report.sequence)
-                >= (report.incarnation, report.sequence)
+            (held.report.incarnation, held.report.sequence) >= (report.incarnation, report.sequence)
         });
         if stale {
             return false;
--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -154,8 +154,8 @@
                 TrialStage::Moved
             }
             TrialStage::Moved => {
-                let all_moved = peers.len() + 1 >= routers as usize
-                    && peers.values().all(|count| count.moved);
+                let all_moved =
+                    peers.len() + 1 >= routers as usize && peers.values().all(|count| count.moved);
                 let drained =
                     other_running == 0 && peers.values().all(|count| count.other_running == 0);
                 if all_moved && (drained || part >= LATEST_PART) {
@@ -182,8 +182,7 @@
     let target_total = f64::from(sum.target_good + sum.target_bad);
     let other_total = f64::from(sum.other_good + sum.other_bad);
     let target_share = f64::from(sum.target_bad) / target_total;
-    let other_share =
-        if other_total > 0.0 { f64::from(sum.other_bad) / other_total } else { 0.0 };
+    let other_share = if other_total > 0.0 { f64::from(sum.other_bad) / other_total } else { 0.0 };
     let pooled = f64::from(sum.target_bad + sum.other_bad) / (target_total + other_total);
     let error =
         (pooled * (1.0 - pooled) * (1.0 / target_total + 1.0 / other_total.max(1.0))).sqrt();
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -12,9 +12,7 @@
 use super::GatewayContext;
 use super::call_log::CallLog;
 use super::caller::CALL_UNITS;
-use super::edge::{
-    AnswerFacts, CallDialect, CallHead, ForwardedCall, GatewayEdge, GatewayRefusal,
-};
+use super::edge::{AnswerFacts, CallDialect, CallHead, ForwardedCall, GatewayEdge, GatewayRefusal};
 use super::event_frames::EventFrames;
 use super::events::ControlEvent;
 use super::grant_hold::GrantHold;
@@ -48,7 +46,8 @@
 const SILENCE_PART: f64 = 0.4;
 
 /// Shortest and longest such time.
-const SILENCE_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
+const SILENCE_RANGE: (Duration, Duration) =
+    (Duration::from_millis(150), Duration::from_millis(1200));
 
 /// What is known of a call before it is sent anywhere.
 pub struct CallSubject {
@@ -164,7 +163,9 @@
                     }
                     charge = BudgetCharge::Repeat;
                 }
-                AttemptEnd::Stream(head, stream) => return self.stream_answer(&head, *stream).await,
+                AttemptEnd::Stream(head, stream) => {
+                    return self.stream_answer(&head, *stream).await;
+                }
             }
         }
     }
@@ -221,11 +222,8 @@
         self.tried.push(Arc::clone(&grant.upstream));
         self.log.sent(&grant);
         let hold = GrantHold::new(&self.context, grant.id, self.subject.arrived, self.objective());
-        let idle_limit = if self.subject.route.may_repeat() {
-            USUAL_IDLE_LIMIT
-        } else {
-            CAREFUL_IDLE_LIMIT
-        };
+        let idle_limit =
+            if self.subject.route.may_repeat() { USUAL_IDLE_LIMIT } else { CAREFUL_IDLE_LIMIT };
         let pool = &self.context.pool;
         let mut lease = match pool.lease(&grant.upstream, grant.address, idle_limit).await {
             Ok(lease) => lease,
@@ -243,7 +241,11 @@
         match sending.await {
             Err(_) => {
                 hold.end(CallOutcome::Silent);
-                if self.is_over() { AttemptEnd::TimedOut } else { AttemptEnd::Failed(call.run(), None) }
+                if self.is_over() {
+                    AttemptEnd::TimedOut
+                } else {
+                    AttemptEnd::Failed(call.run(), None)
+                }
             }
             Ok(Err(SendError::Unsent)) => {
                 hold.end(CallOutcome::Unsent);
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -27,16 +27,22 @@
 use crate::decision::direct::RefusalCause;
 use crate::ids::CallFingerprint;
 use crate::lifecycle::daemon::{ServingDaemon, StartingDaemon};
-use crate::routing::{CallerLimits, RouteMatch, RouteTable, draw_target};
+use crate::routing::{CallKind, CallerLimits, RouteMatch, RouteTable, draw_target};
 use crate::supervisor::StopSignal;
 
-/// Time after the stop signal for which new connections are accepted: the balancer needs two
-/// missed probes, a second apart, to take a router out.
+/// Time after the stop signal after which no new stream is taken: streams last seconds, and the
+/// balancer sends no new connections after two missed probes, a second apart.
+const STREAMS_AFTER_STOP: Duration = Duration::from_millis(2500);
+
+/// Time after the stop signal for which new connections are accepted.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3600);
 
 /// Time before the process is killed at which the remaining connections are given up.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// Smallest buffer that hyper allows, in bytes.
+const LEAST_BUFFER: usize = 8192;
+
 /// Limits on callers before a configuration is known.
 const INITIAL_LIMITS: CallerLimits = CallerLimits {
     head_bytes: 16 << 10,
@@ -51,8 +57,9 @@
 /// Unit of memory in which calls are counted, in bytes.
 pub const SPACE_UNIT: usize = 1024;
 
-/// Memory of one call besides its body, in units: connection buffers and the call's state.
-pub const CALL_UNITS: usize = 24;
+/// Memory of one call besides its body, in units: buffers of both connections and the call's
+/// state.
+pub const CALL_UNITS: usize = 40;
 
 /// How far a stop has come, as connections see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +67,8 @@
     Serving,
     /// Connections are closed after the call that they carry.
     Draining,
+    /// New streams are refused, besides.
+    Refusing,
     /// Idle connections are closed too.
     Closing,
 }
@@ -91,7 +100,15 @@
     context.tell(ControlEvent::Leaving);
     stage.send_replace(DrainStage::Draining);
     log::info!(calls = context.in_flight.count(); "draining");
-    let _ = tokio::time::timeout(ACCEPT_AFTER_STOP, &mut accepting).await;
+    let refusing = async {
+        tokio::time::sleep(STREAMS_AFTER_STOP).await;
+        stage.send_replace(DrainStage::Refusing);
+        tokio::time::sleep(ACCEPT_AFTER_STOP - STREAMS_AFTER_STOP).await;
+    };
+    tokio::select! {
+        accepted = &mut accepting => accepted?,
+        () = refusing => {}
+    }
     stage.send_replace(DrainStage::Closing);
     let left = context.settings.stop_grace.saturating_sub(ACCEPT_AFTER_STOP + STOP_MARGIN);
     if tokio::time::timeout(left, context.in_flight.wait_idle()).await.is_err() {
@@ -157,21 +174,22 @@
         let context = Arc::clone(&context);
         service_fn(move |request| {
             let context = Arc::clone(&context);
-            let draining = *stage.borrow() != DrainStage::Serving;
-            async move {
+            let stage = *stage.borrow();
+            // hyper keeps room for the whole future on every idle connection unless it is boxed.
+            Box::pin(async move {
                 let work = context.in_flight.enter();
-                let mut answer = handle(Arc::clone(&context), request).await;
-                if draining {
+                let mut answer = handle(Arc::clone(&context), request, stage).await;
+                if stage != DrainStage::Serving {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, work)))
-            }
+            })
         })
     };
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.head_time)
-        .max_buf_size(limits.head_bytes.max(8192) * 2)
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER) + LEAST_BUFFER)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let closing = async {
@@ -194,10 +212,12 @@
 async fn handle<E: GatewayEdge>(
     context: Arc<GatewayContext<E>>,
     request: Request<Incoming>,
+    stage: DrainStage,
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    match admit(&context, head, body, arrived).await {
+    let admitted = admit(&context, head, body, arrived).await;
+    match admitted.and_then(|subject| refuse_late_stream(subject, stage)) {
         Ok(subject) => CallRun::new(context, subject).answer().await,
         Err(refusal) => {
             context.metrics.count_call(format!("refused {}", refusal.status().as_u16()));
@@ -206,6 +226,20 @@
     }
 }
 
+/// Refuses a stream that would not end before the process does.
+fn refuse_late_stream(
+    subject: CallSubject,
+    stage: DrainStage,
+) -> Result<CallSubject, GatewayRefusal> {
+    let late = matches!(stage, DrainStage::Refusing | DrainStage::Closing);
+    if late && subject.route.kind == CallKind::Stream {
+        let refusal =
+            GatewayRefusal::NotRun { cause: RefusalCause::Leaving, retry_after: Duration::ZERO };
+        return Err(log_refusal(&subject.head, refusal));
+    }
+    Ok(subject)
+}
+
 /// Checks a call and reads its body.
 async fn admit<E: GatewayEdge>(
     context: &GatewayContext<E>,
@@ -218,11 +252,10 @@
     let limit = context.limits().body_bytes;
     let (body, space) = read_body(context, &head, body, limit).await?;
     let table = table?;
-    let facts = context
-        .edge
-        .dialect()
-        .read_head(&head)
-        .map_err(|error| log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem }))?;
+    let facts =
+        context.edge.dialect().read_head(&head).map_err(|error| {
+            log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem })
+        })?;
     let (route, team) = find_route(&table, &head, &facts)?;
     let service = draw_target(&route, &facts.attempt)
         .ok_or(GatewayRefusal::UnknownRoute { version: table.version() })?;
@@ -255,9 +288,7 @@
     let version = table.version();
     match table.find(host, head.uri.path(), facts.key.as_deref()) {
         RouteMatch::Allowed { route, team } => Ok((route, team)),
-        RouteMatch::Unknown => {
-            Err(log_refusal(head, GatewayRefusal::UnknownRoute { version }))
-        }
+        RouteMatch::Unknown => Err(log_refusal(head, GatewayRefusal::UnknownRoute { version })),
         RouteMatch::Denied { .. } => Err(log_refusal(head, GatewayRefusal::UnknownKey { version })),
     }
 }
@@ -282,10 +313,8 @@
         .and_then(|length| length.to_str().ok())
         .and_then(|length| length.parse::<usize>().ok())
         .or_else(|| body.size_hint().exact().and_then(|size| usize::try_from(size).ok()));
-    let no_space = || GatewayRefusal::NotRun {
-        cause: RefusalCause::NoCapacity,
-        retry_after: NOT_READY_RETRY,
-    };
+    let no_space =
+        || GatewayRefusal::NotRun { cause: RefusalCause::NoCapacity, retry_after: NOT_READY_RETRY };
     let mut refusal = None;
     let mut space = reserve(context, CALL_UNITS * SPACE_UNIT + stated.unwrap_or_default());
     let mut held = BytesMut::with_capacity(stated.unwrap_or_default().min(limit));
--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -12,7 +12,9 @@
 use http::{HeaderMap, Response, StatusCode, request, response};
 
 use crate::decision::direct::{PromptShape, RefusalCause, TrialStage};
-use crate::ids::{ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreRevision, UpstreamId, VersionId};
+use crate::ids::{
+    ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreRevision, UpstreamId, VersionId,
+};
 use crate::routing::{ViewBatch, ViewPart};
 
 /// Everything that differs between the platforms a gateway runs on.
@@ -83,8 +85,10 @@
     ) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
     /// Writes this router's sign of life.
-    fn announce(&self, member: &MemberEntry)
-    -> impl Future<Output = Result<(), SourceError>> + Send;
+    fn announce(
+        &self,
+        member: &MemberEntry,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
     /// Removes a router's entry.
     fn retire(&self, node: &NodeId) -> impl Future<Output = Result<(), SourceError>> + Send;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -61,7 +61,7 @@
 const BASE_MEMORY: usize = 24 << 20;
 
 /// Part of the remaining memory that calls may take; the rest covers copies in buffers.
-const CALL_MEMORY_PART: f64 = 0.5;
+const CALL_MEMORY_PART: f64 = 0.4;
 
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -141,8 +141,7 @@
 
     /// Keeps a connection whose call has ended cleanly.
     pub fn release(&self, leased: LeasedConnection, address: SocketAddr, stated: Option<Duration>) {
-        let limit =
-            stated.map_or(DEFAULT_IDLE_LIMIT, |stated| stated.saturating_sub(IDLE_MARGIN));
+        let limit = stated.map_or(DEFAULT_IDLE_LIMIT, |stated| stated.saturating_sub(IDLE_MARGIN));
         if leased.sender.is_closed() || limit.is_zero() {
             return;
         }
@@ -174,9 +173,8 @@
         let now = Instant::now();
         let mut shelves = self.shelves.lock().unwrap_or_else(PoisonError::into_inner);
         let shelf = shelves.get_mut(upstream)?;
-        shelf.retain(|idle| {
-            now < idle.until && idle.address == address && !idle.sender.is_closed()
-        });
+        shelf
+            .retain(|idle| now < idle.until && idle.address == address && !idle.sender.is_closed());
         let index = shelf.iter().rposition(|idle| {
             idle.sender.is_ready() && now.duration_since(idle.since) < idle_limit
         })?;
@@ -215,9 +213,7 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(2);
+    let keepalive =
+        TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL).with_retries(2);
     socket.set_tcp_keepalive(&keepalive)
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -8,8 +8,8 @@
 mod view;
 
 pub use entry::{
-    CallKind, CallerLimits, MoveOrder, RouteEntry, RouteSheet, RouteTarget, ServiceEntry, TeamEntry,
-    UpstreamEntry,
+    CallKind, CallerLimits, MoveOrder, RouteEntry, RouteSheet, RouteTarget, ServiceEntry,
+    TeamEntry, UpstreamEntry,
 };
 pub use table::{RouteMatch, RouteTable, TeamKey, draw_target};
 pub use view::{FleetView, ViewBatch, ViewChange, ViewExport, ViewPart};
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -159,7 +159,11 @@
             sheet: self.sheet.clone(),
             taken_out: self.taken_out.iter().cloned().collect(),
             moves: self.moves.values().cloned().collect(),
-            entries: self.entries.iter().map(|(id, entry)| (Arc::clone(id), entry.clone())).collect(),
+            entries: self
+                .entries
+                .iter()
+                .map(|(id, entry)| (Arc::clone(id), entry.clone()))
+                .collect(),
         }
     }
 
