Give calls that spill less room

Cause: under load an engine that frees a little room gets whichever call waits, so calls read their shared parts anew nearly everywhere. Calls that would do so now need an engine with more slack, and wait for their own otherwise.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -27,6 +27,10 @@
 /// Part of a call's objective within which its first event must be expected when it is sent.
 const START_PART: f64 = 0.62;
 
+/// The same for a call that would read shared parts again at an engine that others do not prefer:
+/// under load it rather waits for the engine that has kept them.
+const SPILL_START_PART: f64 = 0.35;
+
 /// Part of the deadline that a call larger than the objective allows may take on an idle engine.
 const LARGE_CALL_PART: f64 = 0.4;
 
@@ -468,7 +472,9 @@
                 .map_or(0, |prompt| expected_missing(load, prompt, preferred == Some(*index)));
             let has_room = match (&call.prompt, service.memory_tokens) {
                 (Some(prompt), Some(memory)) => {
-                    model_has_room(load, call, prompt, missing, memory, now)
+                    let spilled = preferred != Some(*index) && lacks_shared(prompt, missing);
+                    let part = if spilled { SPILL_START_PART } else { START_PART };
+                    model_has_room(load, call, prompt, (missing, memory), part, now)
                 }
                 _ => plain_has_room(load),
             };
@@ -671,12 +677,17 @@
     own.min(missing) + (shared as f64 * (1.0 - FIRST_CHOICE_KEPT)) as u64
 }
 
+/// Returns whether the prompt tokens to read include shared ones.
+fn lacks_shared(prompt: &PromptShape, missing: u64) -> bool {
+    missing > prompt.parts.last().map_or(0, |part| u64::from(part.tokens))
+}
+
 fn model_has_room(
     load: &UpstreamLoad,
     call: &ArrivingCall,
     prompt: &PromptShape,
-    missing: u64,
-    memory: u64,
+    (missing, memory): (u64, u64),
+    start_part: f64,
     now: Instant,
 ) -> bool {
     let slots = f64::from(load.entry.slots) * USED_SLOTS;
@@ -689,7 +700,7 @@
     }
     let elapsed = now.duration_since(call.arrived);
     let wait = load.expected_wait(missing) + elapsed;
-    if wait <= call.objective.mul_f64(START_PART) {
+    if wait <= call.objective.mul_f64(start_part) {
         return true;
     }
     let idle = load.own.waiting_tokens + load.peers.waiting_tokens == 0;
