--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -29,7 +29,7 @@
 
 /// The same for a call that would read shared parts again at an engine that others do not prefer:
 /// under load it rather waits for the engine that has kept them.
-const SPILL_START_PART: f64 = 0.35;
+const SPILL_START_PART: f64 = 0.22;
 
 /// Part of the deadline that a call larger than the objective allows may take on an idle engine.
 const LARGE_CALL_PART: f64 = 0.4;
