Keep room free for teams that have had less than they are owed

Cause: under load engines are full up to the bound with calls of the teams that ask most, so calls of small teams begin late or are refused. Teams beyond the max-min level of what all engines do now get less room at each engine.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -12,7 +12,7 @@
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable};
 use super::suspects::{CRASH_LIMIT, SuspectList};
-use super::team_use::TeamUse;
+use super::team_use::{TeamUse, owed_level};
 use super::version_trial::{TrialStage, VersionTrial};
 use super::window::RepeatBudget;
 use crate::decision::rendezvous::rendezvous_weight;
@@ -27,6 +27,10 @@
 /// Part of a call's objective within which its first event must be expected when it is sent.
 const START_PART: f64 = 0.62;
 
+/// The same for a call of a team that has had more than it is owed: what is left between the two
+/// parts is kept free for the teams that are owed service.
+const OVERUSE_START_PART: f64 = 0.42;
+
 /// The same for a call that would read shared parts again at an engine that others do not prefer:
 /// under load it rather waits for the engine that has kept them.
 const SPILL_START_PART: f64 = 0.22;
@@ -116,6 +120,8 @@
     grants: IndexMap<GrantId, GrantedCall>,
     next_grant: GrantId,
     teams: TeamUse,
+    work_rate: Option<f64>,
+    owed_level: f64,
     peers: PeerTable,
     suspects: SuspectList,
     regained: Option<Instant>,
@@ -136,6 +142,8 @@
             grants: IndexMap::new(),
             next_grant: 1,
             teams: TeamUse::default(),
+            work_rate: None,
+            owed_level: f64::INFINITY,
             peers: PeerTable::default(),
             suspects: SuspectList::default(),
             regained: None,
@@ -191,6 +199,7 @@
                     services.insert(Arc::clone(&entry.name), state);
                 }
                 self.services = services;
+                self.work_rate = sheet.work_rate;
             }
             ViewChange::TakenOut(centre) => {
                 self.taken_out.insert(Arc::clone(centre));
@@ -278,6 +287,13 @@
         }
     }
 
+    /// Brings the use up to which teams are owed service up to date.
+    pub fn refresh_owed_level(&mut self, now: Instant) {
+        let names: IndexSet<&TeamId> = self.teams.names().chain(self.peers.team_names()).collect();
+        let uses = names.into_iter().map(|team| self.fleet_use(Some(team), now)).collect();
+        self.owed_level = self.work_rate.map_or(f64::INFINITY, |rate| owed_level(uses, rate));
+    }
+
     /// What this router tells its peers of loads, teams, suspects and moves.
     pub fn fill_report(&mut self, report: &mut PeerReport, now: Instant) {
         report.loads = self
@@ -451,6 +467,8 @@
         let service = &self.services.get(&call.service)?.entry;
         let routers = self.peers.routers(now);
         let connections = connection_share(service, routers);
+        let overuse = self.fleet_use(call.team.as_deref(), now) > self.owed_level;
+        let start_part = if overuse { OVERUSE_START_PART } else { START_PART };
         let preferred = call
             .prompt
             .as_ref()
@@ -473,7 +491,7 @@
             let has_room = match (&call.prompt, service.memory_tokens) {
                 (Some(prompt), Some(memory)) => {
                     let spilled = preferred != Some(*index) && lacks_shared(prompt, missing);
-                    let part = if spilled { SPILL_START_PART } else { START_PART };
+                    let part = if spilled { SPILL_START_PART } else { start_part };
                     model_has_room(load, call, prompt, (missing, memory), part, now)
                 }
                 _ => plain_has_room(load),
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -154,6 +154,11 @@
         self.peers.values().map(|peer| peer.teams.of(team, now)).sum()
     }
 
+    /// Names of the teams that use peers.
+    pub fn team_names(&self) -> impl Iterator<Item = &TeamId> {
+        self.peers.values().flat_map(|peer| peer.teams.names())
+    }
+
     /// Connections that ended under calls like this one at all peers.
     pub fn suspect_count(&self, fingerprint: CallFingerprint) -> u32 {
         self.peers
--- a/src/decision/direct/team_use.rs
+++ b/src/decision/direct/team_use.rs
@@ -12,6 +12,28 @@
 /// Use below which a team is forgotten, in tokens.
 const FORGOTTEN_USE: f64 = 1.0;
 
+/// Use that teams may have together when they get `work_rate` tokens a second for long.
+fn steady_use(work_rate: f64) -> f64 {
+    work_rate * HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2
+}
+
+/// Use up to which a team is owed service: the level of the max-min fair division of what all
+/// upstreams do, by the uses of all teams.
+pub fn owed_level(mut uses: Vec<f64>, work_rate: f64) -> f64 {
+    uses.sort_by(f64::total_cmp);
+    let mut left = steady_use(work_rate);
+    let mut teams = uses.len();
+    for used in uses {
+        let part = left / teams as f64;
+        if used > part {
+            return part;
+        }
+        left -= used;
+        teams -= 1;
+    }
+    f64::INFINITY
+}
+
 /// Use of each team that fades with time, so that teams are compared over the last seconds.
 #[derive(Clone, Debug, Default)]
 pub struct TeamUse {
@@ -49,6 +71,11 @@
         self.uses.iter().map(|(team, held)| (TeamId::clone(team), held.faded(now))).collect()
     }
 
+    /// Names of the teams with recorded use.
+    pub fn names(&self) -> impl Iterator<Item = &TeamId> {
+        self.uses.keys()
+    }
+
     /// Replaces all uses, as received from a peer at `now`.
     pub fn replace(&mut self, uses: &[(TeamId, f64)], now: Instant) {
         self.uses = uses
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -233,6 +233,7 @@
         let now = Instant::now();
         self.dispatcher.expire_lapsed(now);
         self.dispatcher.refresh_peer_loads(now);
+        self.dispatcher.refresh_owed_level(now);
         self.judge_moves(now);
         self.fetch_when_behind(now);
         self.report(now);
--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -120,6 +120,9 @@
     pub teams: Vec<TeamEntry>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Work that all upstreams together do in a second, in tokens; each token read counts once,
+    /// each token generated twice. Teams are owed equal parts of it.
+    pub work_rate: Option<f64>,
 }
 
 /// One upstream as it describes itself.
