--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -29,7 +29,7 @@
 
 /// The same for a call of a team that has had more than it is owed: what is left between the two
 /// parts is kept free for the teams that are owed service.
-const OVERUSE_START_PART: f64 = 0.42;
+const OVERUSE_START_PART: f64 = 0.3;
 
 /// The same for a call that would read shared parts again at an engine that others do not prefer:
 /// under load it rather waits for the engine that has kept them.
