--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -29,11 +29,14 @@
 
 /// The same for a call of a team that has had more than it is owed: what is left between the two
 /// parts is kept free for the teams that are owed service.
-const OVERUSE_START_PART: f64 = 0.3;
+const OVERUSE_START_PART: f64 = 0.42;
 
 /// The same for a call that would read shared parts again at an engine that others do not prefer:
 /// under load it rather waits for the engine that has kept them.
-const SPILL_START_PART: f64 = 0.22;
+const SPILL_START_PART: f64 = 0.26;
+
+/// The same for such a call of a team that has had more than it is owed.
+const OVERUSE_SPILL_START_PART: f64 = 0.13;
 
 /// Part of the deadline that a call larger than the objective allows may take on an idle engine.
 const LARGE_CALL_PART: f64 = 0.4;
@@ -468,7 +471,11 @@
         let routers = self.peers.routers(now);
         let connections = connection_share(service, routers);
         let overuse = self.fleet_use(call.team.as_deref(), now) > self.owed_level;
-        let start_part = if overuse { OVERUSE_START_PART } else { START_PART };
+        let (start_part, spill_part) = if overuse {
+            (OVERUSE_START_PART, OVERUSE_SPILL_START_PART)
+        } else {
+            (START_PART, SPILL_START_PART)
+        };
         let preferred = call
             .prompt
             .as_ref()
@@ -491,7 +498,7 @@
             let has_room = match (&call.prompt, service.memory_tokens) {
                 (Some(prompt), Some(memory)) => {
                     let spilled = preferred != Some(*index) && lacks_shared(prompt, missing);
-                    let part = if spilled { SPILL_START_PART } else { start_part };
+                    let part = if spilled { spill_part } else { start_part };
                     model_has_room(load, call, prompt, (missing, memory), part, now)
                 }
                 _ => plain_has_room(load),
