Prefer two engines for a prompt part, gather changes, fewer member calls

A second engine in the part's order now counts as one that has probably kept it; a follower pauses 250 ms after a change.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -53,9 +53,9 @@
 /// Weight of reading shared parts again beside the wait that it causes.
 const REREAD_WEIGHT: f64 = 8.0;
 
-/// Chance that the first engine in a part's order has kept the part though this router has not
-/// sent it there: its peers prefer the same engine.
-const FIRST_CHOICE_KEPT: f64 = 0.9;
+/// Chance that the first engines in a part's order have kept the part though this router has not
+/// sent it there: its peers prefer the same engines.
+const CHOICE_KEPT: [f64; 2] = [0.9, 0.6];
 
 /// Part of the fleet's bound on calls to a cold upstream that is used.
 const USED_COLD_PART: f64 = 0.8;
@@ -544,7 +544,9 @@
             .prompt
             .as_ref()
             .and_then(PromptShape::affinity_part)
-            .and_then(|part| preferred_upstream(&self.upstreams, usable, part));
+            .map_or([None; CHOICE_KEPT.len()], |part| {
+                preferred_upstreams(&self.upstreams, usable, part)
+            });
         let mut best: Option<(f64, usize, u64)> = None;
         for index in usable {
             let (id, load) = self.upstreams.get_index_mut(*index)?;
@@ -558,13 +560,12 @@
             {
                 continue;
             }
-            let missing = call
-                .prompt
-                .as_ref()
-                .map_or(0, |prompt| expected_missing(load, prompt, preferred == Some(*index)));
+            let rank = preferred.iter().position(|preferred| *preferred == Some(*index));
+            let missing =
+                call.prompt.as_ref().map_or(0, |prompt| expected_missing(load, prompt, rank));
             let has_room = match (&call.prompt, service.memory_tokens) {
                 (Some(prompt), Some(memory)) => {
-                    let spilled = preferred != Some(*index) && lacks_shared(prompt, missing);
+                    let spilled = rank != Some(0) && lacks_shared(prompt, missing);
                     let part = if spilled { spill_part } else { start_part };
                     model_has_room(load, call, prompt, (missing, memory), part, now)
                 }
@@ -748,27 +749,31 @@
     u32::from(chance < share)
 }
 
-/// The engine that every router prefers for a prompt part, by rendezvous hashing.
-fn preferred_upstream(
+/// The engines that every router prefers for a prompt part, by rendezvous hashing.
+fn preferred_upstreams(
     upstreams: &IndexMap<UpstreamId, UpstreamLoad>,
     usable: &[usize],
     part: u64,
-) -> Option<usize> {
-    let purpose = part.to_string();
-    usable.iter().copied().max_by_key(|index| {
-        upstreams.get_index(*index).map(|(id, _)| rendezvous_weight(&purpose, id))
-    })
+) -> [Option<usize>; CHOICE_KEPT.len()] {
+    let mut first: [Option<(u64, usize)>; CHOICE_KEPT.len()] = [None; CHOICE_KEPT.len()];
+    for index in usable {
+        let mut candidate = Some((upstreams[*index].affinity(part), *index));
+        for place in &mut first {
+            if candidate > *place {
+                std::mem::swap(place, &mut candidate);
+            }
+        }
+    }
+    first.map(|place| place.map(|(_, index)| index))
 }
 
 /// Prompt tokens that the upstream probably has to read.
-fn expected_missing(load: &UpstreamLoad, prompt: &PromptShape, preferred: bool) -> u64 {
+fn expected_missing(load: &UpstreamLoad, prompt: &PromptShape, rank: Option<usize>) -> u64 {
     let missing = load.memory.missing_tokens(prompt);
-    if !preferred {
-        return missing;
-    }
+    let Some(rank) = rank else { return missing };
     let own: u64 = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
     let shared = missing.saturating_sub(own);
-    own.min(missing) + (shared as f64 * (1.0 - FIRST_CHOICE_KEPT)) as u64
+    own.min(missing) + (shared as f64 * (1.0 - CHOICE_KEPT[rank])) as u64
 }
 
 /// Returns whether the prompt tokens to read include shared ones.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -24,10 +24,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Reports that a router sends and receives in a second at most; larger fleets report less often.
-const REPORTS_PER_SECOND: u32 = 80;
+const REPORTS_PER_SECOND: u32 = 220;
 
 /// Age after which a member that has shown no sign of life no longer counts.
-const MEMBER_LIFETIME: Duration = Duration::from_secs(15);
+const MEMBER_LIFETIME: Duration = Duration::from_secs(20);
 
 /// Events that are taken in before the waiting calls are looked at again.
 const EVENT_BATCH: usize = 64;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Pause after changes, so that changes in quick succession come in one answer.
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
+
 /// Whether the source answers, as one follower sees it.
 struct SourceHealth {
     part: ViewPart,
@@ -46,24 +49,31 @@
                 if health.regained() {
                     context.control.send(ControlEvent::SourceRegained).await?;
                 }
+                let changed = !batch.complete && !batch.changes.is_empty();
                 revision = Some(batch.revision);
                 send_batch(&context, batch).await?;
+                if changed && pause_unless_stopped(GATHER_PAUSE, &stop).await {
+                    return Ok(());
+                }
             }
             Err(SourceError::HistoryLost) => {
                 log::info!(part:% = part, revision:? = revision; "history lost; reading anew");
                 revision = None;
             }
             Err(SourceError::Unavailable { cause }) => {
-                let pause = health.lose(&cause);
-                tokio::select! {
-                    () = stop.cancelled() => return Ok(()),
-                    () = tokio::time::sleep(pause) => {}
+                if pause_unless_stopped(health.lose(&cause), &stop).await {
+                    return Ok(());
                 }
             }
         }
     }
 }
 
+/// Waits; returns whether the process stops.
+async fn pause_unless_stopped(pause: Duration, stop: &StopSignal) -> bool {
+    tokio::time::timeout(pause, stop.cancelled()).await.is_ok()
+}
+
 async fn send_batch<E: GatewayEdge>(
     context: &GatewayContext<E>,
     batch: ViewBatch,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -9,14 +9,14 @@
 use crate::supervisor::StopSignal;
 
 /// Time between two signs of life in the store.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(4);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(8);
 
 /// Time between two reads of the members, soon after the start and later.
-const EARLY_READ_INTERVAL: Duration = Duration::from_millis(1500);
-const READ_INTERVAL: Duration = Duration::from_secs(4);
+const EARLY_READ_INTERVAL: Duration = Duration::from_secs(2);
+const READ_INTERVAL: Duration = Duration::from_secs(8);
 
 /// Time after the start in which members are read more often: the others start too.
-const EARLY_TIME: Duration = Duration::from_secs(8);
+const EARLY_TIME: Duration = Duration::from_secs(4);
 
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
