Leave the rotation when overloaded, limit callers' connections

A router whose timers are late or whose connections are nearly used up now says that it is not ready and closes connections after their answer; connections beyond the memory's share are closed unread.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -26,7 +26,7 @@
 use super::tracked_body::TrackedBody;
 use crate::decision::direct::RefusalCause;
 use crate::ids::CallFingerprint;
-use crate::lifecycle::daemon::{ServingDaemon, StartingDaemon};
+use crate::lifecycle::daemon::{DrainingDaemon, ServingDaemon, StartingDaemon};
 use crate::routing::{CallKind, CallerLimits, RouteMatch, RouteTable, draw_target};
 use crate::supervisor::StopSignal;
 
@@ -86,17 +86,19 @@
     let (stage, stage_watch) = watch::channel(DrainStage::Serving);
     let accepting = accept_callers(&context, &listener, stage_watch);
     let serving = async {
-        let serving = start_serving(&context, &life, &stop).await;
-        stop.cancelled().await;
-        serving
+        match start_serving(&context, &life, &stop).await {
+            Some(serving) => Some(serve_until_stopped(&context, serving, &stop).await),
+            None => {
+                stop.cancelled().await;
+                None
+            }
+        }
     };
     tokio::pin!(accepting);
-    let serving = tokio::select! {
+    let draining = tokio::select! {
         accepted = &mut accepting => { accepted?; None }
-        serving = serving => serving,
+        draining = serving => draining,
     };
-    let stopped = Instant::now();
-    let draining = serving.map(|serving| serving.drain(stopped));
     context.tell(ControlEvent::Leaving);
     stage.send_replace(DrainStage::Draining);
     log::info!(calls = context.in_flight.count(); "draining");
@@ -139,6 +141,47 @@
     Some(starting.serve())
 }
 
+/// Reports whether the daemon keeps up with its callers until it is told to stop.
+async fn serve_until_stopped<E: GatewayEdge>(
+    context: &GatewayContext<E>,
+    mut serving: ServingDaemon,
+    stop: &StopSignal,
+) -> DrainingDaemon {
+    let mut pressed = context.pressed.subscribe();
+    // The sender lives in the context, so the waits below end only with a value.
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return serving.drain(Instant::now()),
+            _ = pressed.wait_for(|pressed| *pressed) => {}
+        }
+        let overloaded = serving.overload();
+        tokio::select! {
+            () = stop.cancelled() => return overloaded.drain(Instant::now()),
+            _ = pressed.wait_for(|pressed| !*pressed) => {}
+        }
+        serving = overloaded.relieve();
+    }
+}
+
+/// Counts a caller's connection while it is open.
+struct ConnectionCount<E: GatewayEdge>(Arc<GatewayContext<E>>);
+
+impl<E: GatewayEdge> ConnectionCount<E> {
+    /// Counts a connection unless the limit is reached.
+    fn try_new(context: &Arc<GatewayContext<E>>) -> Option<Self> {
+        let open = context.connections.fetch_add(1, Ordering::Relaxed);
+        // The count goes down again when this is dropped.
+        let count = Self(Arc::clone(context));
+        (open < context.connection_limit).then_some(count)
+    }
+}
+
+impl<E: GatewayEdge> Drop for ConnectionCount<E> {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn accept_callers<E: GatewayEdge>(
     context: &Arc<GatewayContext<E>>,
     listener: &TcpListener,
@@ -146,10 +189,13 @@
 ) -> eyre::Result<()> {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let context = Arc::clone(context);
-                tokio::spawn(serve_connection(context, stream, stage.clone()));
-            }
+            Ok((stream, _)) => match ConnectionCount::try_new(context) {
+                Some(count) => {
+                    tokio::spawn(serve_connection(count, stream, stage.clone()));
+                }
+                // A caller whose connection is closed unread may try another router at once.
+                None => context.metrics.count_call("connection closed: too many"),
+            },
             Err(error) => {
                 // Descriptors may be used up for a moment; connections that end free them.
                 log::warn!("cannot accept a connection: {error}");
@@ -160,10 +206,11 @@
 }
 
 async fn serve_connection<E: GatewayEdge>(
-    context: Arc<GatewayContext<E>>,
+    count: ConnectionCount<E>,
     stream: TcpStream,
     mut stage: watch::Receiver<DrainStage>,
 ) {
+    let context = Arc::clone(&count.0);
     if let Err(error) = set_timeouts(&stream) {
         log::debug!("caller's connection ended before it was set up: {error}");
         return;
@@ -179,7 +226,7 @@
             Box::pin(async move {
                 let work = context.in_flight.enter();
                 let mut answer = handle(Arc::clone(&context), request, stage).await;
-                if stage != DrainStage::Serving {
+                if stage != DrainStage::Serving || *context.pressed.borrow() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, work)))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,11 +19,13 @@
 mod peer_server;
 mod peers;
 mod pool;
+mod pressure;
 mod relay;
 mod settings;
 mod tracked_body;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -57,12 +59,6 @@
 /// Control events that may be under way.
 const CONTROL_CAPACITY: usize = 16 << 10;
 
-/// Memory that the process takes without calls, in bytes.
-const BASE_MEMORY: usize = 24 << 20;
-
-/// Part of the remaining memory that calls may take; the rest covers copies in buffers.
-const CALL_MEMORY_PART: f64 = 0.4;
-
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -77,6 +73,9 @@
     space: Arc<Semaphore>,
     calls: CallCounter,
     in_flight: InFlightCounter,
+    connections: AtomicUsize,
+    connection_limit: usize,
+    pressed: watch::Sender<bool>,
     metrics: Arc<GatewayMetrics>,
 }
 
@@ -119,7 +118,6 @@
         let metrics = Arc::new(GatewayMetrics::default());
         let incarnation = incarnation();
         let (life, ready) = StartingDaemon::new();
-        let spare = settings.memory_bytes.saturating_sub(BASE_MEMORY) as f64 * CALL_MEMORY_PART;
         let context = Arc::new(GatewayContext {
             edge,
             settings: Arc::clone(&settings),
@@ -127,9 +125,12 @@
             control,
             table,
             pool: UpstreamPool::new(Arc::clone(&metrics)),
-            space: Arc::new(Semaphore::new(spare as usize / SPACE_UNIT)),
+            space: Arc::new(Semaphore::new(settings.call_memory() / SPACE_UNIT)),
             calls: CallCounter::new(1),
             in_flight: InFlightCounter::default(),
+            connections: AtomicUsize::new(0),
+            connection_limit: settings.connection_limit(),
+            pressed: watch::Sender::new(false),
             metrics: Arc::clone(&metrics),
         });
         let parts = ControlParts {
@@ -185,6 +186,7 @@
                 serve_until(sockets.peer.clone(), peer_server::peer_router(context), stop)
             }))
             .child(child(&context, "pool-sweep", sweep_pool))
+            .child(child(&context, "pressure", pressure::watch_pressure))
             .child(ChildSpec::permanent("ready", move |stop| {
                 serve_until(sockets.ready.clone(), ready_router(ready.clone()), stop)
             }))
--- a/src/lifecycle/daemon.rs
+++ b/src/lifecycle/daemon.rs
@@ -13,6 +13,9 @@
     /// Takes new work.
     #[display("serving")]
     Serving,
+    /// Takes work, but asks for no more until it has caught up.
+    #[display("overloaded")]
+    Overloaded,
     /// Finishes running work and takes no more.
     #[display("draining")]
     Draining,
@@ -36,6 +39,12 @@
     state: watch::Sender<ReadyState>,
 }
 
+/// A daemon that takes work but should get no more until it has caught up.
+#[derive(Debug)]
+pub struct OverloadedDaemon {
+    state: watch::Sender<ReadyState>,
+}
+
 /// A daemon that only finishes running work.
 #[derive(Debug)]
 pub struct DrainingDaemon {
@@ -69,6 +78,12 @@
 }
 
 impl ServingDaemon {
+    /// Asks for no more work for a while.
+    pub fn overload(self) -> OverloadedDaemon {
+        self.state.send_replace(ReadyState::Overloaded);
+        OverloadedDaemon { state: self.state }
+    }
+
     /// Stops taking new work.
     pub fn drain(self, now: Instant) -> DrainingDaemon {
         self.state.send_replace(ReadyState::Draining);
@@ -76,6 +91,19 @@
     }
 }
 
+impl OverloadedDaemon {
+    /// Asks for work again.
+    pub fn relieve(self) -> ServingDaemon {
+        self.state.send_replace(ReadyState::Serving);
+        ServingDaemon { state: self.state }
+    }
+
+    /// Stops taking new work.
+    pub fn drain(self, now: Instant) -> DrainingDaemon {
+        self.relieve().drain(now)
+    }
+}
+
 impl DrainingDaemon {
     /// Ends the life cycle once no work is left.
     pub fn close(self, now: Instant) -> StoppedDaemon {
