--- /dev/null
+++ b/tests/testsuite/direct_dispatch.rs
@@ -0,0 +1,464 @@
+//! Choice of the next call and its upstream on the direct path.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use godwitcrank::decision::direct::{
+    ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, DirectDispatcher, FleetBounds,
+    PeerLoad, PeerReport, PromptPart, PromptShape, RefusalCause,
+};
+use godwitcrank::ids::{CallId, UpstreamId};
+use godwitcrank::routing::{
+    CallKind, CallerLimits, RouteSheet, ServiceEntry, UpstreamEntry, ViewChange,
+};
+use googletest::prelude::*;
+
+const OBJECTIVE: Duration = Duration::from_millis(500);
+
+/// The platform's bound for a cold upstream: its rate times a factor and some slack.
+const COLD_RATE: f64 = 20.0;
+
+fn bounds() -> FleetBounds {
+    FleetBounds {
+        repeat_ratio: 0.2,
+        repeat_window: Duration::from_secs(10),
+        repeat_slack: 10.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+    }
+}
+
+fn sheet(work_rate: Option<f64>) -> ViewChange {
+    let service = |name: &str, memory_tokens| ServiceEntry {
+        name: name.into(),
+        connection_limit: 600,
+        cold_period: Duration::from_secs(3),
+        cold_rate: COLD_RATE,
+        memory_tokens,
+    };
+    ViewChange::Sheet(Arc::new(RouteSheet {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service("model", Some(300_000)), service("booking", None)],
+        teams: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+        work_rate,
+    }))
+}
+
+fn entry(service: &str, slots: u32) -> UpstreamEntry {
+    UpstreamEntry {
+        service: service.into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "caerdydd".into(),
+        version: "v1".into(),
+        slots,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        started: None,
+    }
+}
+
+/// A dispatcher with two other routers and the given upstreams of the service `model`.
+fn fleet(upstreams: &[&str], now: Instant) -> DirectDispatcher {
+    let mut dispatcher = DirectDispatcher::new("router-1".into(), "caerdydd".into(), bounds());
+    dispatcher.apply(&sheet(None), now);
+    for id in upstreams {
+        dispatcher.apply(&ViewChange::Upstream((*id).into(), entry("model", 128)), now);
+    }
+    dispatcher.set_members(3);
+    dispatcher
+}
+
+fn prompt(shared: u64, shared_tokens: u32, own_tokens: u32) -> PromptShape {
+    PromptShape {
+        tokens_in: shared_tokens + own_tokens,
+        tokens_out: 50,
+        parts: vec![
+            PromptPart { id: shared, tokens: shared_tokens },
+            PromptPart { id: u64::MAX, tokens: own_tokens },
+        ],
+    }
+}
+
+fn call(id: CallId, team: &str, prompt: PromptShape, now: Instant) -> ArrivingCall {
+    ArrivingCall {
+        id,
+        service: "model".into(),
+        team: Some(team.into()),
+        kind: CallKind::Stream,
+        priority: 1,
+        prompt: Some(prompt),
+        objective: OBJECTIVE,
+        arrived: now,
+        deadline: now + Duration::from_secs(4),
+        fingerprint: id,
+        tried: Vec::new(),
+        charge: BudgetCharge::First,
+    }
+}
+
+fn granted(verdicts: &[(CallId, CallVerdict)]) -> Vec<(CallId, CallGrant)> {
+    verdicts
+        .iter()
+        .filter_map(|(id, verdict)| match verdict {
+            CallVerdict::Send(grant) => Some((*id, grant.clone())),
+            CallVerdict::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+fn refused(verdicts: &[(CallId, CallVerdict)]) -> Vec<(CallId, RefusalCause)> {
+    verdicts
+        .iter()
+        .filter_map(|(id, verdict)| match verdict {
+            CallVerdict::Refuse { cause, .. } => Some((*id, *cause)),
+            CallVerdict::Send(_) => None,
+        })
+        .collect()
+}
+
+/// Sends one call and returns its grant, when it gets one at once.
+fn send(dispatcher: &mut DirectDispatcher, call: ArrivingCall, now: Instant) -> Option<CallGrant> {
+    let id = call.id;
+    dispatcher.arrive(call);
+    let grant = granted(&dispatcher.dispatch(now)).pop().map(|(_, grant)| grant);
+    dispatcher.withdraw(id);
+    grant
+}
+
+/// Fills all upstreams with long prompts of a team until a call of it has to wait.
+fn fill(dispatcher: &mut DirectDispatcher, team: &str, now: Instant) -> Vec<CallGrant> {
+    let mut grants = Vec::new();
+    for id in 1_000..2_000 {
+        match send(dispatcher, call(id, team, prompt(id, 0, 2_000), now), now) {
+            Some(grant) => grants.push(grant),
+            None => return grants,
+        }
+    }
+    grants
+}
+
+fn report(sequence: u64, loads: Vec<(UpstreamId, PeerLoad)>) -> PeerReport {
+    PeerReport {
+        node: "router-2".into(),
+        incarnation: 1,
+        sequence,
+        operators: 1,
+        upstreams: 1,
+        loads,
+        teams: Vec::new(),
+        suspects: Vec::new(),
+        trials: Vec::new(),
+        leaving: false,
+    }
+}
+
+/// Guards against calls that share a prompt part being spread, so that each engine reads it anew.
+#[gtest]
+fn dispatch_shared_part_at_one_upstream() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b", "c", "d"], now);
+    let chosen: Vec<UpstreamId> = (0..6)
+        .filter_map(|id| {
+            let shape = prompt(7, 4_000, 300);
+            send(&mut dispatcher, call(id, "team", shape, now), now).map(|grant| grant.upstream)
+        })
+        .collect();
+    assert_that!(chosen.len(), eq(6));
+    assert_that!(chosen, each(eq(&chosen[0])));
+}
+
+/// Guards against routers that prefer different engines for the same prompt part.
+#[gtest]
+fn dispatch_shared_part_alike_at_all_routers() {
+    let now = Instant::now();
+    for part in 0..20 {
+        let mut chosen = Vec::new();
+        for node in ["router-1", "router-2"] {
+            let mut dispatcher = DirectDispatcher::new(node.into(), "caerdydd".into(), bounds());
+            dispatcher.apply(&sheet(None), now);
+            for id in ["a", "b", "c", "d", "e"] {
+                dispatcher.apply(&ViewChange::Upstream(id.into(), entry("model", 128)), now);
+            }
+            let shape = prompt(part, 4_000, 300);
+            chosen.push(send(&mut dispatcher, call(1, "team", shape, now), now));
+        }
+        let names: Vec<_> = chosen.iter().flatten().map(|grant| &grant.upstream).collect();
+        assert_that!(names.len(), eq(2));
+        expect_that!(names[0], eq(names[1]));
+    }
+}
+
+/// Guards against a queue at an engine that makes every first event late.
+#[gtest]
+fn dispatch_full_upstream_refuses() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let grants = fill(&mut dispatcher, "team", now);
+    // At 70 tokens a millisecond, the objective leaves room for some ten prompts of 2,000 tokens.
+    assert_that!(grants.len(), all!(ge(5), le(17)));
+    dispatcher.arrive(call(1, "team", prompt(1, 0, 2_000), now));
+    assert_that!(dispatcher.dispatch(now), is_empty());
+    let later = now + OBJECTIVE;
+    assert_that!(
+        refused(&dispatcher.dispatch(later)),
+        elements_are![eq(&(1, RefusalCause::NoCapacity))]
+    );
+}
+
+/// Guards against a refused caller that is told to come back after its objective is over.
+#[gtest]
+fn dispatch_refusal_names_retry_within_objective() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    fill(&mut dispatcher, "team", now);
+    dispatcher.arrive(call(1, "team", prompt(1, 0, 2_000), now));
+    let verdicts = dispatcher.dispatch(now + OBJECTIVE);
+    let Some((_, CallVerdict::Refuse { retry_after, .. })) = verdicts.first() else {
+        panic!("the call was not refused: {verdicts:?}");
+    };
+    assert_that!(*retry_after, all!(gt(Duration::ZERO), lt(OBJECTIVE)));
+}
+
+/// Guards against a team that floods taking the room of a team that asks little.
+#[gtest]
+fn dispatch_team_with_least_use_first() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let grants = fill(&mut dispatcher, "flood", now);
+    dispatcher.arrive(call(1, "flood", prompt(1, 0, 2_000), now));
+    dispatcher.arrive(call(2, "small", prompt(2, 0, 2_000), now));
+    dispatcher.ended(grants[0].id, CallOutcome::Completed, false, now);
+    let ids: Vec<CallId> =
+        granted(&dispatcher.dispatch(now)).into_iter().map(|(id, _)| id).collect();
+    assert_that!(ids, elements_are![eq(&2)]);
+}
+
+/// Guards against engines filled to the bound by teams that have had more than they are owed.
+#[gtest]
+fn dispatch_team_beyond_owed_level_leaves_room() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    dispatcher.apply(&sheet(Some(2_000.0)), now);
+    send(&mut dispatcher, call(1, "small", prompt(1, 0, 100), now), now);
+    send(&mut dispatcher, call(2, "flood", prompt(2, 0, 9_000), now), now);
+    dispatcher.refresh_from_peers(now);
+    fill(&mut dispatcher, "flood", now);
+    let shape = prompt(3, 0, 1_500);
+    expect_that!(send(&mut dispatcher, call(3, "flood", shape.clone(), now), now), none());
+    expect_that!(send(&mut dispatcher, call(4, "small", shape, now), now), some(anything()));
+}
+
+/// Guards against routers that each fill an engine as if they were alone.
+#[gtest]
+fn dispatch_counts_load_of_peers() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let load = PeerLoad { running: 10, waiting_tokens: 60_000, held_tokens: 60_000 };
+    dispatcher.record_peer(report(1, vec![("a".into(), load)]), now);
+    expect_that!(send(&mut dispatcher, call(1, "team", prompt(1, 0, 2_000), now), now), none());
+    dispatcher.record_peer(report(2, Vec::new()), now);
+    expect_that!(
+        send(&mut dispatcher, call(2, "team", prompt(2, 0, 2_000), now), now),
+        some(anything())
+    );
+}
+
+/// Guards against a late report of a peer undoing a newer one.
+#[gtest]
+fn record_peer_ignores_older_report() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let load = PeerLoad { running: 10, waiting_tokens: 60_000, held_tokens: 60_000 };
+    dispatcher.record_peer(report(5, Vec::new()), now);
+    dispatcher.record_peer(report(4, vec![("a".into(), load)]), now);
+    assert_that!(dispatcher.upstreams()["a"].peers, eq(PeerLoad::default()));
+}
+
+/// Guards against a silent router's load being counted for ever.
+#[gtest]
+fn refresh_from_peers_forgets_silent_peer() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let load = PeerLoad { running: 10, waiting_tokens: 60_000, held_tokens: 60_000 };
+    dispatcher.record_peer(report(1, vec![("a".into(), load)]), now);
+    dispatcher.refresh_from_peers(now + Duration::from_secs(2));
+    assert_that!(dispatcher.upstreams()["a"].peers, eq(PeerLoad::default()));
+}
+
+/// Guards against more calls to a cold upstream than it bears, from all routers together.
+#[gtest]
+fn dispatch_cold_upstream_within_share() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let cold = UpstreamEntry { cold_left: Duration::from_secs(5), ..entry("model", 128) };
+    dispatcher.apply(&ViewChange::Upstream("a".into(), cold), now);
+    let mut sent = 0;
+    for id in 0..100 {
+        let at = now + Duration::from_millis(9 * id);
+        let shape = prompt(id, 0, 100);
+        sent += usize::from(send(&mut dispatcher, call(id, "team", shape, at), at).is_some());
+    }
+    // Three routers share the bound for a second.
+    let bound = (COLD_RATE * 1.5 + 5.0) / 3.0;
+    assert_that!(sent, all!(ge(1), le(bound as usize)));
+}
+
+/// Guards against full load on an upstream that restarted under its old id.
+#[gtest]
+fn apply_restarted_upstream_is_cold() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let started = Some(SystemTime::UNIX_EPOCH + Duration::from_secs(9));
+    let restarted = UpstreamEntry { started, ..entry("model", 128) };
+    dispatcher.apply(&ViewChange::Upstream("a".into(), restarted), now);
+    expect_that!(dispatcher.upstreams()["a"].cold.is_cold(now + Duration::from_secs(2)), eq(true));
+    expect_that!(dispatcher.upstreams()["a"].cold.is_cold(now + Duration::from_secs(4)), eq(false));
+}
+
+/// Guards against full load on a data centre's upstreams that became cold while it was out.
+#[gtest]
+fn apply_taken_back_data_centre_is_cold() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    dispatcher.apply(&ViewChange::TakenOut("caerdydd".into()), now);
+    expect_that!(send(&mut dispatcher, call(1, "team", prompt(1, 0, 9), now), now), none());
+    dispatcher.apply(&ViewChange::TakenBack("caerdydd".into()), now);
+    expect_that!(dispatcher.upstreams()["a"].cold.is_cold(now + Duration::from_secs(2)), eq(true));
+}
+
+/// Guards against new work for an upstream that announced its end.
+#[gtest]
+fn dispatch_leaving_upstream_gets_nothing() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let leaving = UpstreamEntry { leaving: true, ..entry("model", 128) };
+    dispatcher.apply(&ViewChange::Upstream("a".into(), leaving), now);
+    dispatcher.arrive(call(1, "team", prompt(1, 0, 9), now));
+    assert_that!(
+        refused(&dispatcher.dispatch(now + OBJECTIVE)),
+        elements_are![eq(&(1, RefusalCause::NoUpstream))]
+    );
+}
+
+/// Guards against an upstream whose entry lapsed in an outage of the store being given up at once,
+/// and against one that is gone being used for longer than a leaving upstream may be.
+#[gtest]
+fn apply_gone_after_outage_keeps_upstream_shortly() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    dispatcher.store_regained(now);
+    dispatcher.apply(&ViewChange::UpstreamGone("a".into()), now);
+    expect_that!(dispatcher.upstreams().len(), eq(1));
+    dispatcher.expire_lapsed(now + Duration::from_secs(2));
+    expect_that!(dispatcher.upstreams().len(), eq(0));
+}
+
+/// Guards against an entry's removal on a calm day being ignored.
+#[gtest]
+fn apply_gone_removes_upstream() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    dispatcher.apply(&ViewChange::UpstreamGone("a".into()), now);
+    assert_that!(dispatcher.upstreams().len(), eq(0));
+}
+
+/// Guards against a call that ends every upstream that runs it.
+#[gtest]
+fn dispatch_call_after_three_crashes_refuses() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b", "c", "d"], now);
+    for id in 0..3 {
+        let suspect = ArrivingCall { fingerprint: 77, ..call(id, "team", prompt(id, 0, 9), now) };
+        let grant = send(&mut dispatcher, suspect, now).expect("the call gets an upstream");
+        dispatcher.ended(grant.id, CallOutcome::Broken, false, now);
+    }
+    dispatcher.arrive(ArrivingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) });
+    assert_that!(
+        refused(&dispatcher.dispatch(now)),
+        elements_are![eq(&(9, RefusalCause::Suspect))]
+    );
+}
+
+/// Guards against crashes that other routers saw not being counted.
+#[gtest]
+fn dispatch_call_that_crashed_elsewhere_refuses() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let peer = PeerReport { suspects: vec![(77, 3)], ..report(1, Vec::new()) };
+    dispatcher.record_peer(peer, now);
+    dispatcher.arrive(ArrivingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) });
+    assert_that!(
+        refused(&dispatcher.dispatch(now)),
+        elements_are![eq(&(9, RefusalCause::Suspect))]
+    );
+}
+
+/// Guards against repeats beyond this router's share of the fleet's budget.
+#[gtest]
+fn dispatch_repeats_within_budget() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b", "c"], now);
+    let mut sent = 0;
+    for id in 0..50 {
+        let repeat = ArrivingCall {
+            charge: BudgetCharge::Repeat,
+            ..call(id, "team", prompt(id, 0, 1), now)
+        };
+        sent += usize::from(send(&mut dispatcher, repeat, now).is_some());
+    }
+    // No first calls were counted, so only a third of the slack of ten may be used.
+    assert_that!(sent, all!(ge(1), le(3)));
+}
+
+/// Guards against a repeat at the upstream that failed.
+#[gtest]
+fn dispatch_repeat_avoids_tried_upstream() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b"], now);
+    let shape = prompt(7, 100, 10);
+    let first = send(&mut dispatcher, call(1, "team", shape.clone(), now), now)
+        .expect("the call gets an upstream");
+    let again = ArrivingCall {
+        charge: BudgetCharge::Repeat,
+        tried: vec![Arc::clone(&first.upstream)],
+        ..call(1, "team", shape, now)
+    };
+    let second = send(&mut dispatcher, again, now).expect("the call gets the other upstream");
+    assert_that!(second.upstream, not(eq(&first.upstream)));
+}
+
+/// Guards against calls that go on to an upstream that cannot be reached.
+#[gtest]
+fn ended_unreachable_rests_upstream() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b"], now);
+    let shape = prompt(7, 100, 10);
+    let first = send(&mut dispatcher, call(1, "team", shape.clone(), now), now)
+        .expect("the call gets an upstream");
+    let down = dispatcher.ended(first.id, CallOutcome::Unreachable, false, now);
+    expect_that!(down.as_ref(), some(eq(&first.upstream)));
+    let second = send(&mut dispatcher, call(2, "team", shape, now), now)
+        .expect("the call gets the other upstream");
+    expect_that!(second.upstream, not(eq(&first.upstream)));
+}
+
+/// Guards against room that is never given back when callers leave.
+#[gtest]
+fn ended_abandoned_frees_room() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let grants = fill(&mut dispatcher, "team", now);
+    let count = grants.len();
+    for grant in grants {
+        dispatcher.ended(grant.id, CallOutcome::Abandoned, false, now);
+    }
+    expect_that!(dispatcher.upstreams()["a"].own, eq(PeerLoad::default()));
+    expect_that!(fill(&mut dispatcher, "team", now).len(), eq(count));
+}
--- /dev/null
+++ b/tests/testsuite/direct_rules.rs
@@ -0,0 +1,220 @@
+//! Small rules of the direct path: windows, budgets, teams, members, version moves.
+
+use std::time::{Duration, Instant};
+
+use godwitcrank::decision::direct::{
+    MoveVerdict, PeerReport, PeerTable, RepeatBudget, SlidingCount, TeamUse, TrialCount,
+    TrialStage, VersionTrial, owed_level,
+};
+use godwitcrank::ids::NodeId;
+use godwitcrank::routing::MoveOrder;
+use googletest::prelude::*;
+use indexmap::IndexMap;
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn report(node: &str, incarnation: u64) -> PeerReport {
+    PeerReport {
+        node: node.into(),
+        incarnation,
+        sequence: 1,
+        operators: 4,
+        upstreams: 9,
+        loads: Vec::new(),
+        teams: Vec::new(),
+        suspects: Vec::new(),
+        trials: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn trial(now: Instant) -> VersionTrial {
+    let order = MoveOrder {
+        service: "model".into(),
+        target: "v2".into(),
+        duration: Duration::from_secs(20),
+    };
+    VersionTrial::new(order, now)
+}
+
+fn peers(count: &TrialCount) -> IndexMap<NodeId, TrialCount> {
+    IndexMap::from([(NodeId::from("router-2"), count.clone())])
+}
+
+/// Guards against a count that keeps events beyond its window.
+#[gtest]
+fn count_expires_old_events() {
+    let now = Instant::now();
+    let mut count = SlidingCount::new(WINDOW);
+    count.add(now);
+    count.add(now + Duration::from_secs(6));
+    expect_that!(count.count(now + Duration::from_secs(9)), eq(2));
+    expect_that!(count.count(now + Duration::from_secs(11)), eq(1));
+}
+
+proptest! {
+    /// Guards against routers that together repeat more than the fleet may: in every schedule of
+    /// first calls and repeats, the repeats of all routers stay within the ratio and the slack.
+    #[test]
+    fn try_repeat_all_routers_within_bound(
+        steps in proptest::collection::vec((0_usize..4, any::<bool>(), 0_u64..400), 1..600),
+    ) {
+        const RATIO: f64 = 0.2;
+        const SLACK: f64 = 20.0;
+        let start = Instant::now();
+        let mut budgets = vec![RepeatBudget::new(WINDOW); 4];
+        let mut firsts: Vec<Instant> = Vec::new();
+        let mut repeats: Vec<Instant> = Vec::new();
+        let mut now = start;
+        for (router, is_repeat, pause) in steps {
+            now += Duration::from_millis(pause);
+            if !is_repeat {
+                budgets[router].record_first(now);
+                firsts.push(now);
+            } else if budgets[router].try_repeat(RATIO, SLACK, 4, now) {
+                repeats.push(now);
+                let recent = |times: &[Instant]| {
+                    times.iter().filter(|at| now.duration_since(**at) < WINDOW).count() as f64
+                };
+                prop_assert!(recent(&repeats) <= RATIO * recent(&firsts) + SLACK);
+            }
+        }
+    }
+
+    /// Guards against a level that promises teams more than all upstreams do.
+    #[test]
+    fn owed_level_sum_within_work(
+        uses in proptest::collection::vec(0.0_f64..1e6, 1..40),
+        rate in 1.0_f64..1e6,
+    ) {
+        let level = owed_level(uses.clone(), rate);
+        let given: f64 = uses.iter().map(|used| used.min(level)).sum();
+        let steady = rate * 2.0 / std::f64::consts::LN_2;
+        prop_assert!(given <= steady * 1.000_001);
+    }
+}
+
+/// Guards against a team that used much long ago still being put behind the others.
+#[gtest]
+fn of_team_fades() {
+    let now = Instant::now();
+    let mut uses = TeamUse::default();
+    uses.add(&"flood".into(), 1_000.0, now);
+    expect_that!(uses.of("flood", now), near(1_000.0, 0.1));
+    expect_that!(uses.of("flood", now + Duration::from_secs(2)), near(500.0, 0.1));
+    expect_that!(uses.list(now + Duration::from_secs(60)), is_empty());
+}
+
+/// Guards against a router that takes a full share of a bound before it knows its peers.
+#[gtest]
+fn routers_unknown_members_assume_many() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    expect_that!(peers.routers(now), ge(30));
+    peers.set_members(1);
+    expect_that!(peers.routers(now), eq(1));
+    peers.record(report("router-2", 1), now);
+    expect_that!(peers.routers(now), eq(2));
+}
+
+/// Guards against the share growing while a peer that fell silent may still send.
+#[gtest]
+fn routers_silent_peer_counts_while_store_names_it() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.set_members(2);
+    peers.record(report("router-2", 1), now);
+    assert_that!(peers.routers(now + Duration::from_secs(30)), eq(2));
+}
+
+/// Guards against a report from an earlier life replacing one of the present life.
+#[gtest]
+fn record_earlier_life_ignored() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    expect_that!(peers.record(report("router-2", 2), now), some(anything()));
+    expect_that!(peers.record(report("router-2", 1), now), none());
+}
+
+/// Guards against a router that the store does not reach staying behind its peers.
+#[gtest]
+fn better_informed_newer_part() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.record(report("router-2", 1), now);
+    expect_that!(peers.better_informed(4, 9, now), none());
+    expect_that!(peers.better_informed(4, 8, now), some(anything()));
+    expect_that!(peers.better_informed(3, 9, now), some(anything()));
+}
+
+/// Guards against a bad version that gets more than a small share before it is judged.
+#[gtest]
+fn next_is_target_small_share() {
+    let mut trial = trial(Instant::now());
+    let sent = (0..1_000).filter(|_| trial.next_is_target()).count();
+    // The users' bound is a tenth of the calls.
+    assert_that!(sent, all!(ge(20), le(100)));
+}
+
+/// Guards against a version that fails getting calls after its fault shows, also when other
+/// routers saw most of it.
+#[gtest]
+fn judge_bad_version_takes_back() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    for _ in 0..300 {
+        trial.record(false, true);
+    }
+    let seen = TrialCount { target_good: 10, target_bad: 10, ..TrialCount::default() };
+    let verdict = trial.judge(5, &peers(&seen), 2, now + Duration::from_secs(1));
+    expect_that!(verdict, eq(MoveVerdict::Entered(TrialStage::TakenBack)));
+    expect_that!(trial.next_is_target(), eq(false));
+}
+
+/// Guards against a good version being taken back for failures that all versions have.
+#[gtest]
+fn judge_failures_everywhere_keeps_trial() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    for index in 0..400 {
+        trial.record(false, index % 2 == 0);
+        trial.record(true, index % 2 == 0);
+    }
+    let verdict = trial.judge(5, &IndexMap::new(), 1, now + Duration::from_secs(1));
+    assert_that!(verdict, eq(MoveVerdict::Unchanged));
+}
+
+/// Guards against a move that is completed while calls still run at the old version, which stops
+/// at once then.
+#[gtest]
+fn judge_good_version_waits_for_old_calls() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    for _ in 0..100 {
+        trial.record(false, true);
+        trial.record(true, true);
+    }
+    let later = now + Duration::from_secs(12);
+    let moved = TrialCount { moved: true, ..TrialCount::default() };
+    let busy = TrialCount { other_running: 3, ..moved.clone() };
+    expect_that!(
+        trial.judge(2, &peers(&busy), 2, later),
+        eq(MoveVerdict::Entered(TrialStage::Moved))
+    );
+    expect_that!(trial.judge(0, &peers(&busy), 2, later), eq(MoveVerdict::Unchanged));
+    expect_that!(
+        trial.judge(0, &peers(&moved), 2, later),
+        eq(MoveVerdict::Entered(TrialStage::Done))
+    );
+}
+
+/// Guards against a recorded end of a move being undone by a router that judges for itself.
+#[gtest]
+fn adopt_recorded_end_stays() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    trial.adopt(TrialStage::TakenBack);
+    trial.adopt(TrialStage::Done);
+    assert_that!(trial.stage(), eq(TrialStage::TakenBack));
+}
--- /dev/null
+++ b/tests/testsuite/routing.rs
@@ -0,0 +1,203 @@
+//! Routes, keys and the view that operators and upstreams publish.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitcrank::lifecycle::call::UnsentCall;
+use godwitcrank::routing::{
+    CallKind, CallerLimits, FleetView, RouteEntry, RouteMatch, RouteSheet, RouteTable, RouteTarget,
+    TeamEntry, UpstreamEntry, ViewBatch, ViewChange, ViewPart, draw_target,
+};
+use googletest::prelude::*;
+
+fn route(name: &str, prefix: &str, kind: CallKind) -> RouteEntry {
+    RouteEntry {
+        name: name.into(),
+        host: "bench.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(500),
+        attempts: 2,
+        priority: 1,
+        targets: vec![RouteTarget { service: "model".into(), weight: 1 }],
+        anonymous: false,
+        resumable: false,
+    }
+}
+
+fn sheet(version: u64) -> RouteSheet {
+    let open = RouteEntry { anonymous: true, ..route("open", "/open/", CallKind::Repeatable) };
+    RouteSheet {
+        version,
+        routes: vec![
+            route("short", "/a/", CallKind::Stream),
+            route("long", "/a/b/", CallKind::AtMostOnce),
+            open,
+        ],
+        services: Vec::new(),
+        teams: vec![TeamEntry { name: "clocks".into(), keys: vec!["k1".into()], priority: None }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+        work_rate: None,
+    }
+}
+
+fn route_name(found: &RouteMatch) -> Option<&str> {
+    match found {
+        RouteMatch::Allowed { route, .. } | RouteMatch::Denied { route } => Some(&route.name),
+        RouteMatch::Unknown => None,
+    }
+}
+
+fn upstream(leaving: bool) -> UpstreamEntry {
+    UpstreamEntry {
+        service: "model".into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "caerdydd".into(),
+        version: "v1".into(),
+        slots: 8,
+        leaving,
+        cold_left: Duration::ZERO,
+        started: None,
+    }
+}
+
+fn batch(part: ViewPart, revision: u64, complete: bool, changes: Vec<ViewChange>) -> ViewBatch {
+    ViewBatch { part, revision, complete, changes }
+}
+
+/// Guards against a call taking a shorter prefix although a longer one begins its path.
+#[gtest]
+fn find_longest_prefix() {
+    let table = RouteTable::from(&sheet(1));
+    for (path, expected) in [
+        ("/a/b/c", Some("long")),
+        ("/a/b/", Some("long")),
+        ("/a/b", Some("short")),
+        ("/a/bc/d", Some("short")),
+        ("/b/a/", None),
+        ("/", None),
+    ] {
+        let found = table.find("bench.example", path, Some("k1"));
+        expect_that!(route_name(&found), eq(expected), "path {path}");
+    }
+}
+
+/// Guards against hosts that are compared with their port or their case.
+#[gtest]
+fn find_host_without_port_and_case() {
+    let table = RouteTable::from(&sheet(1));
+    let found = table.find("Bench.Example:8080", "/a/", Some("k1"));
+    expect_that!(route_name(&found), some(eq("short")));
+    expect_that!(route_name(&table.find("other.example", "/a/", Some("k1"))), none());
+}
+
+/// Guards against unknown keys that pass, and against keys asked on anonymous routes.
+#[gtest]
+fn find_key_decides_team() {
+    let table = RouteTable::from(&sheet(1));
+    let known = table.find("bench.example", "/a/", Some("k1"));
+    let RouteMatch::Allowed { team, .. } = known else { panic!("the known key was refused") };
+    expect_that!(team.as_deref(), some(eq("clocks")));
+    for key in [None, Some("k2"), Some("")] {
+        let found = table.find("bench.example", "/a/", key);
+        expect_that!(matches!(found, RouteMatch::Denied { .. }), eq(true), "key {key:?}");
+    }
+    let open = table.find("bench.example", "/open/x", None);
+    expect_that!(matches!(open, RouteMatch::Allowed { team: None, .. }), eq(true));
+}
+
+/// Guards against a split that ignores its weights or moves a call between services.
+#[gtest]
+fn draw_target_follows_weights() {
+    let mut split = route("split", "/s/", CallKind::Repeatable);
+    split.targets = vec![
+        RouteTarget { service: "old".into(), weight: 90 },
+        RouteTarget { service: "new".into(), weight: 10 },
+    ];
+    let drawn = |attempt: u32| draw_target(&split, &format!("attempt-{attempt}"));
+    let new = (0..2_000).filter(|id| drawn(*id).as_deref() == Some("new")).count();
+    expect_that!(new, all!(ge(140), le(260)));
+    expect_that!(drawn(3), eq(&drawn(3)));
+}
+
+/// Guards against an old configuration that comes late and undoes a newer one.
+#[gtest]
+fn apply_older_sheet_never_reverts() {
+    let mut view = FleetView::default();
+    let newer = ViewChange::Sheet(Arc::new(sheet(9)));
+    view.apply(batch(ViewPart::Operators, 20, true, vec![newer]));
+    let older = ViewChange::Sheet(Arc::new(sheet(8)));
+    view.apply(batch(ViewPart::Operators, 19, true, vec![older.clone()]));
+    view.apply(batch(ViewPart::Operators, 21, false, vec![older]));
+    assert_that!(view.sheet().map(|sheet| sheet.version), some(eq(9)));
+}
+
+/// Guards against upstreams that are gone from a complete list but still used.
+#[gtest]
+fn apply_complete_list_removes_missing() {
+    let mut view = FleetView::default();
+    let entry = |id: &str| ViewChange::Upstream(id.into(), upstream(false));
+    view.apply(batch(ViewPart::Upstreams, 5, true, vec![entry("a"), entry("b")]));
+    let changes = view.apply(batch(ViewPart::Upstreams, 6, true, vec![entry("b")]));
+    expect_that!(changes, elements_are![eq(&ViewChange::UpstreamGone("a".into()))]);
+    expect_that!(view.entries().len(), eq(1));
+}
+
+/// Guards against a data centre that stays out after the order was removed during a gap.
+#[gtest]
+fn apply_complete_list_takes_data_centre_back() {
+    let mut view = FleetView::default();
+    let out = ViewChange::TakenOut("caerdydd".into());
+    view.apply(batch(ViewPart::Operators, 5, false, vec![out]));
+    expect_that!(view.taken_out().len(), eq(1));
+    let changes = view.apply(batch(ViewPart::Operators, 9, true, Vec::new()));
+    expect_that!(changes, elements_are![eq(&ViewChange::TakenBack("caerdydd".into()))]);
+}
+
+/// Guards against a peer's older view replacing what a router read itself.
+#[gtest]
+fn import_only_newer_parts() {
+    let mut informed = FleetView::default();
+    let entry = |leaving| ViewChange::Upstream("a".into(), upstream(leaving));
+    informed.apply(batch(
+        ViewPart::Operators,
+        30,
+        true,
+        vec![ViewChange::Sheet(Arc::new(sheet(3)))],
+    ));
+    informed.apply(batch(ViewPart::Upstreams, 4, true, vec![entry(false)]));
+    let mut view = FleetView::default();
+    view.apply(batch(ViewPart::Upstreams, 7, true, vec![entry(true)]));
+    view.import(informed.export());
+    expect_that!(view.sheet().map(|sheet| sheet.version), some(eq(3)));
+    expect_that!(view.entries()["a"].leaving, eq(true));
+    expect_that!(view.revision(ViewPart::Upstreams), eq(7));
+}
+
+/// Guards against a refusal as not run after an upstream may have run the call, and against a
+/// second run where the route does not allow it.
+#[gtest]
+fn repeat_only_where_route_allows() {
+    let once = route("once", "/o/", CallKind::AtMostOnce);
+    let run = UnsentCall::default().send().run();
+    expect_that!(run.repeat(&once).is_err(), eq(true));
+    let safe = route("safe", "/s/", CallKind::Repeatable);
+    let again = UnsentCall::default().send().run().repeat(&safe).expect("one more run is allowed");
+    expect_that!(again.refuse().is_err(), eq(true));
+    let declined = UnsentCall::default().send().declined();
+    expect_that!(declined.refuse().is_ok(), eq(true));
+}
+
+/// Guards against more runs than the route allows.
+#[gtest]
+fn repeat_within_attempts() {
+    let safe = route("safe", "/s/", CallKind::Repeatable);
+    let second = UnsentCall::default().send().run().repeat(&safe).expect("two runs are allowed");
+    assert_that!(second.send().run().repeat(&safe).is_err(), eq(true));
+}
