--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -27,16 +27,14 @@
 /// Part of a call's objective within which its first event must be expected when it is sent.
 const START_PART: f64 = 0.62;
 
-/// The same for a call of a team that has had more than it is owed: what is left between the two
-/// parts is kept free for the teams that are owed service.
-const OVERUSE_START_PART: f64 = 0.42;
-
 /// The same for a call that would read shared parts again at an engine that others do not prefer:
 /// under load it rather waits for the engine that has kept them.
 const SPILL_START_PART: f64 = 0.26;
 
-/// The same for such a call of a team that has had more than it is owed.
-const OVERUSE_SPILL_START_PART: f64 = 0.13;
+/// The least of both parts, for a team whose use is far beyond what it is owed. What lies between
+/// is kept free for teams that have had less.
+const LEAST_START_PART: f64 = 0.36;
+const LEAST_SPILL_START_PART: f64 = 0.10;
 
 /// Part of the deadline that a call larger than the objective allows may take on an idle engine.
 const LARGE_CALL_PART: f64 = 0.4;
@@ -534,12 +532,8 @@
         let service = &self.services.get(&call.service)?.entry;
         let routers = self.peers.routers(now);
         let connections = connection_share(service, routers);
-        let overuse = self.fleet_use(call.team.as_deref(), now) > self.owed_level;
-        let (start_part, spill_part) = if overuse {
-            (OVERUSE_START_PART, OVERUSE_SPILL_START_PART)
-        } else {
-            (START_PART, SPILL_START_PART)
-        };
+        let team_use = self.fleet_use(call.team.as_deref(), now);
+        let (start_part, spill_part) = start_parts(team_use, self.owed_level);
         let preferred = call
             .prompt
             .as_ref()
@@ -720,6 +714,14 @@
     call.objective.mul_f64(RETRY_PART * spread)
 }
 
+/// Parts of the objective for calls of a team: full up to the owed level, less with each step of
+/// use beyond it, so that of two teams beyond it the one that had less gets more.
+fn start_parts(team_use: f64, owed_level: f64) -> (f64, f64) {
+    let owed = if team_use > owed_level { (owed_level / team_use).sqrt() } else { 1.0 };
+    let between = |least: f64, full: f64| least + (full - least) * owed;
+    (between(LEAST_START_PART, START_PART), between(LEAST_SPILL_START_PART, SPILL_START_PART))
+}
+
 /// Connections to one upstream that this router may use.
 fn connection_share(service: &ServiceEntry, routers: u32) -> u32 {
     let share = f64::from(service.connection_limit) * USED_CONNECTIONS / f64::from(routers.max(1));
