--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -12,7 +12,7 @@
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable};
 use super::suspects::{CRASH_LIMIT, SuspectList};
-use super::team_use::{TeamUse, owed_level};
+use super::team_use::{OwedLevel, TeamUse};
 use super::version_trial::{TrialStage, VersionTrial};
 use super::window::RepeatBudget;
 use crate::decision::rendezvous::rendezvous_weight;
@@ -33,7 +33,7 @@
 
 /// The least of both parts, for a team whose use is far beyond what it is owed. What lies between
 /// is kept free for teams that have had less.
-const LEAST_START_PART: f64 = 0.36;
+const LEAST_START_PART: f64 = 0.34;
 const LEAST_SPILL_START_PART: f64 = 0.10;
 
 /// Part of the deadline that a call larger than the objective allows may take on an idle engine.
@@ -48,6 +48,10 @@
 /// idle while an answer travels.
 const PLAIN_CALLS_PER_SLOT: f64 = 1.5;
 
+/// Calls at a plain upstream for each of its slots that all routers may have there together, also
+/// while their reports are on the way: the upstream declines what its short queue cannot hold.
+const PLAIN_SHARE_PER_SLOT: f64 = 4.0;
+
 /// Weight of reading shared parts again beside the wait that it causes.
 const REREAD_WEIGHT: f64 = 8.0;
 
@@ -157,7 +161,7 @@
     next_grant: GrantId,
     teams: TeamUse,
     work_rate: Option<f64>,
-    owed_level: f64,
+    owed_level: OwedLevel,
     peer_use: IndexMap<TeamId, f64>,
     peers: PeerTable,
     suspects: SuspectList,
@@ -180,7 +184,7 @@
             next_grant: 1,
             teams: TeamUse::default(),
             work_rate: None,
-            owed_level: f64::INFINITY,
+            owed_level: OwedLevel::default(),
             peer_use: IndexMap::new(),
             changed: ChangedUpstreams::All,
             peers: PeerTable::default(),
@@ -338,7 +342,8 @@
         self.peer_use = self.peers.team_uses(now);
         let names: IndexSet<&TeamId> = self.teams.names().chain(self.peer_use.keys()).collect();
         let uses = names.into_iter().map(|team| self.fleet_use(Some(team), now)).collect();
-        self.owed_level = self.work_rate.map_or(f64::INFINITY, |rate| owed_level(uses, rate));
+        self.owed_level =
+            self.work_rate.map_or_else(OwedLevel::default, |rate| OwedLevel::new(uses, rate));
         self.changed = ChangedUpstreams::All;
     }
 
@@ -563,7 +568,7 @@
                     let part = if spilled { spill_part } else { start_part };
                     model_has_room(load, call, prompt, (missing, memory), part, now)
                 }
-                _ => plain_has_room(load),
+                _ => plain_has_room(load, routers),
             };
             if !has_room {
                 continue;
@@ -716,8 +721,8 @@
 
 /// Parts of the objective for calls of a team: full up to the owed level, less with each step of
 /// use beyond it, so that of two teams beyond it the one that had less gets more.
-fn start_parts(team_use: f64, owed_level: f64) -> (f64, f64) {
-    let owed = if team_use > owed_level { (owed_level / team_use).sqrt() } else { 1.0 };
+fn start_parts(team_use: f64, level: OwedLevel) -> (f64, f64) {
+    let owed = level.owed_part(team_use);
     let between = |least: f64, full: f64| least + (full - least) * owed;
     (between(LEAST_START_PART, START_PART), between(LEAST_SPILL_START_PART, SPILL_START_PART))
 }
@@ -808,8 +813,11 @@
     idle && wait <= call.deadline.duration_since(call.arrived).mul_f64(LARGE_CALL_PART)
 }
 
-fn plain_has_room(load: &UpstreamLoad) -> bool {
-    f64::from(load.running()) < f64::from(load.entry.slots) * PLAIN_CALLS_PER_SLOT
+fn plain_has_room(load: &UpstreamLoad, routers: u32) -> bool {
+    let slots = f64::from(load.entry.slots);
+    let share = (slots * PLAIN_SHARE_PER_SLOT / f64::from(routers.max(1))).max(1.0);
+    f64::from(load.own.running) < share.floor()
+        && f64::from(load.running()) < slots * PLAIN_CALLS_PER_SLOT
 }
 
 /// Names of the routers that report a move of a service, with their counts.
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -20,6 +20,6 @@
 pub use load::{ColdPace, PromptMemory, UpstreamLoad};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
 pub use suspects::SuspectList;
-pub use team_use::{TeamUse, owed_level};
+pub use team_use::{OwedLevel, TeamUse};
 pub use version_trial::{MoveVerdict, TrialStage, VersionTrial};
 pub use window::{RepeatBudget, SlidingCount};
--- a/src/decision/direct/team_use.rs
+++ b/src/decision/direct/team_use.rs
@@ -17,9 +17,45 @@
     work_rate * HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2
 }
 
-/// Use up to which a team is owed service: the level of the max-min fair division of what all
-/// upstreams do, by the uses of all teams.
-pub fn owed_level(mut uses: Vec<f64>, work_rate: f64) -> f64 {
+/// Use up to which teams are owed service, and the use of those beyond it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwedLevel {
+    /// Level of the max-min fair division of what all upstreams do, by the uses of all teams.
+    pub level: f64,
+    /// Mean use of the teams beyond the level.
+    pub mean_beyond: f64,
+}
+
+impl Default for OwedLevel {
+    /// Every team is owed all that it asks.
+    fn default() -> Self {
+        Self { level: f64::INFINITY, mean_beyond: f64::INFINITY }
+    }
+}
+
+impl OwedLevel {
+    /// Divides what all upstreams do in a second among teams with the given uses.
+    pub fn new(uses: Vec<f64>, work_rate: f64) -> Self {
+        let level = max_min_level(&uses, work_rate);
+        let beyond: Vec<f64> = uses.into_iter().filter(|used| *used > level).collect();
+        if beyond.is_empty() {
+            return Self::default();
+        }
+        Self { level, mean_beyond: beyond.iter().sum::<f64>() / beyond.len() as f64 }
+    }
+
+    /// 1 for a team within the level, less the farther its use is beyond it and beyond the use of
+    /// the other teams there.
+    pub fn owed_part(&self, team_use: f64) -> f64 {
+        if team_use <= self.level {
+            return 1.0;
+        }
+        (self.level / team_use).sqrt() * (self.mean_beyond / team_use).min(1.0)
+    }
+}
+
+fn max_min_level(uses: &[f64], work_rate: f64) -> f64 {
+    let mut uses = uses.to_vec();
     uses.sort_by(f64::total_cmp);
     let mut left = steady_use(work_rate);
     let mut teams = uses.len();
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -113,7 +113,9 @@
     }
     stage.send_replace(DrainStage::Closing);
     let left = context.settings.stop_grace.saturating_sub(ACCEPT_AFTER_STOP + STOP_MARGIN);
-    if tokio::time::timeout(left, context.in_flight.wait_idle()).await.is_err() {
+    // A call may have arrived on a connection that was about to be closed, so the connections'
+    // ends count.
+    if tokio::time::timeout(left, context.connections.wait_idle()).await.is_err() {
         log::warn!(calls = context.in_flight.count(); "stopped before all calls ended");
     }
     if let Some(draining) = draining {
@@ -163,25 +165,6 @@
     }
 }
 
-/// Counts a caller's connection while it is open.
-struct ConnectionCount<E: GatewayEdge>(Arc<GatewayContext<E>>);
-
-impl<E: GatewayEdge> ConnectionCount<E> {
-    /// Counts a connection unless the limit is reached.
-    fn try_new(context: &Arc<GatewayContext<E>>) -> Option<Self> {
-        let open = context.connections.fetch_add(1, Ordering::Relaxed);
-        // The count goes down again when this is dropped.
-        let count = Self(Arc::clone(context));
-        (open < context.connection_limit).then_some(count)
-    }
-}
-
-impl<E: GatewayEdge> Drop for ConnectionCount<E> {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn accept_callers<E: GatewayEdge>(
     context: &Arc<GatewayContext<E>>,
     listener: &TcpListener,
@@ -189,13 +172,16 @@
 ) -> eyre::Result<()> {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => match ConnectionCount::try_new(context) {
-                Some(count) => {
-                    tokio::spawn(serve_connection(count, stream, stage.clone()));
-                }
-                // A caller whose connection is closed unread may try another router at once.
-                None => context.metrics.count_call("connection closed: too many"),
-            },
+            Ok((stream, _)) if context.connections.count() < context.connection_limit => {
+                let open = context.connections.enter();
+                let connection = serve_connection(Arc::clone(context), stream, stage.clone());
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(open);
+                });
+            }
+            // A caller whose connection is closed unread may try another router at once.
+            Ok(_) => context.metrics.count_call("connection closed: too many"),
             Err(error) => {
                 // Descriptors may be used up for a moment; connections that end free them.
                 log::warn!("cannot accept a connection: {error}");
@@ -206,11 +192,10 @@
 }
 
 async fn serve_connection<E: GatewayEdge>(
-    count: ConnectionCount<E>,
+    context: Arc<GatewayContext<E>>,
     stream: TcpStream,
     mut stage: watch::Receiver<DrainStage>,
 ) {
-    let context = Arc::clone(&count.0);
     if let Err(error) = set_timeouts(&stream) {
         log::debug!("caller's connection ended before it was set up: {error}");
         return;
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -41,6 +41,11 @@
         let due = announced.is_none_or(|at| at.elapsed() >= ANNOUNCE_INTERVAL);
         let round = async {
             let source = context.edge.source();
+            if announced.is_none() {
+                // The age of an entry is measured by the store's clock, which the first answer
+                // tells; an entry written before it would look dead to the other routers.
+                source.members().await?;
+            }
             if due {
                 source.announce(&own).await?;
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,6 @@
 mod tracked_body;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -73,7 +72,7 @@
     space: Arc<Semaphore>,
     calls: CallCounter,
     in_flight: InFlightCounter,
-    connections: AtomicUsize,
+    connections: InFlightCounter,
     connection_limit: usize,
     pressed: watch::Sender<bool>,
     metrics: Arc<GatewayMetrics>,
@@ -128,7 +127,7 @@
             space: Arc::new(Semaphore::new(settings.call_memory() / SPACE_UNIT)),
             calls: CallCounter::new(1),
             in_flight: InFlightCounter::default(),
-            connections: AtomicUsize::new(0),
+            connections: InFlightCounter::default(),
             connection_limit: settings.connection_limit(),
             pressed: watch::Sender::new(false),
             metrics: Arc::clone(&metrics),
--- a/src/gateway/pressure.rs
+++ b/src/gateway/pressure.rs
@@ -4,7 +4,6 @@
 //! balancer that it is not ready and lets callers go after each answer, so that others take over.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use super::GatewayContext;
@@ -47,8 +46,7 @@
         }
         let late = due.elapsed().as_secs_f64();
         lateness += LATENESS_WEIGHT * (late - lateness);
-        let used = context.connections.load(Ordering::Relaxed) as f64
-            / context.connection_limit.max(1) as f64;
+        let used = context.connections.count() as f64 / context.connection_limit.max(1) as f64;
         let pressed = *context.pressed.borrow();
         let next = if pressed {
             let eased = lateness < PROMPT_LIMIT.as_secs_f64() && used < ROOMY_PART;
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    MoveVerdict, PeerReport, PeerTable, RepeatBudget, SlidingCount, TeamUse, TrialCount,
+    MoveVerdict, OwedLevel, PeerReport, PeerTable, RepeatBudget, SlidingCount, TeamUse, TrialCount,
     TrialStage, VersionTrial, owed_level,
 };
 use godwitcrank::ids::NodeId;
@@ -84,17 +84,27 @@
 
     /// Guards against a level that promises teams more than all upstreams do.
     #[test]
-    fn owed_level_sum_within_work(
+    fn new_level_sum_within_work(
         uses in proptest::collection::vec(0.0_f64..1e6, 1..40),
         rate in 1.0_f64..1e6,
     ) {
-        let level = owed_level(uses.clone(), rate);
+        let level = OwedLevel::new(uses.clone(), rate).level;
         let given: f64 = uses.iter().map(|used| used.min(level)).sum();
         let steady = rate * 2.0 / std::f64::consts::LN_2;
         prop_assert!(given <= steady * 1.000_001);
     }
 }
 
+/// Guards against teams beyond the level that are treated alike, so that the one which asks most
+/// gets most.
+#[gtest]
+fn owed_part_falls_with_use() {
+    let level = OwedLevel::new(vec![10.0, 2_000.0, 9_000.0], 500.0);
+    expect_that!(level.owed_part(10.0), eq(1.0));
+    expect_that!(level.owed_part(2_000.0), lt(1.0));
+    expect_that!(level.owed_part(9_000.0), lt(0.6 * level.owed_part(2_000.0)));
+}
+
 /// Guards against a team that used much long ago still being put behind the others.
 #[gtest]
 fn of_team_fades() {
