--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use eyre::WrapErr;
 use http::{Response, StatusCode};
@@ -11,6 +12,7 @@
 use viz::{Body, Request, Router};
 
 use crate::agent::AgentDaemon;
+use crate::event_log::settle;
 use crate::gateway::{GatewayDaemon, GatewayEdge, GatewaySettings};
 use crate::lifecycle::daemon::{ReadyState, ReadyWatch};
 use crate::logging::start_logging;
@@ -18,6 +20,9 @@
 use crate::settings::{NodeRole, ProcessSettings, RawSettings};
 use crate::supervisor::StopSignal;
 
+/// Time for which the end of the process waits for its log lines to be written.
+const LOG_SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// Exit code for usage errors and bad settings.
 pub const EXIT_USAGE: u8 = 2;
 
@@ -119,13 +124,15 @@
             GatewayDaemon::bind(settings, edge).await?.run(stop).await
         })
     });
-    match outcome {
+    let code = match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             log::error!("stopped after a failure: {report:#}");
             ExitCode::FAILURE
         }
-    }
+    };
+    settle(LOG_SETTLE_TIME);
+    code
 }
 
 /// Reads the settings again at SIGHUP and says whether a restart is needed for them.
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -460,6 +460,9 @@
     }
 
     fn crash_count(&self, fingerprint: CallFingerprint) -> u32 {
+        if self.suspects.is_cleared(fingerprint) {
+            return 0;
+        }
         self.suspects.count(fingerprint) + self.peers.suspect_count(fingerprint)
     }
 
@@ -667,8 +670,12 @@
     ) -> Option<UpstreamId> {
         let call = self.grants.swap_remove(&grant)?;
         self.changed.note(&call.upstream);
-        if outcome == CallOutcome::Broken {
-            self.suspects.record(call.fingerprint, now);
+        match outcome {
+            CallOutcome::Broken => self.suspects.record(call.fingerprint, now),
+            CallOutcome::Completed if self.crash_count(call.fingerprint) > 0 => {
+                self.suspects.clear(call.fingerprint, now);
+            }
+            _ => {}
         }
         if matches!(outcome, CallOutcome::Declined | CallOutcome::Unreachable)
             && let Some(team) = &call.team
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -2,12 +2,20 @@
 //! the writing code up.
 
 use std::io::{self, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant};
 
 /// Lines that wait for the output.
 const QUEUE_LINES: usize = 4096;
 
+/// Time for which lines are gathered, so that the output thread wakes a few times a second and not
+/// for every line.
+const GATHER_TIME: Duration = Duration::from_millis(25);
+
+/// Lines that are not yet written, over all writers of the process.
+static PENDING_LINES: AtomicUsize = AtomicUsize::new(0);
+
 /// Lines and bytes of one second; beyond either, lines are dropped and counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LogBounds {
@@ -71,7 +79,9 @@
 
     fn send(&mut self, line: Vec<u8>) {
         match self.queue.try_send(line) {
-            Ok(()) => {}
+            Ok(()) => {
+                PENDING_LINES.fetch_add(1, Ordering::Relaxed);
+            }
             // The reader of the output is slow, or the output is closed.
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped += 1,
         }
@@ -92,11 +102,24 @@
 /// Writes lines until the queue or the output is closed; lines that wait are written together.
 fn write_lines(mut output: impl Write, lines: &Receiver<Vec<u8>>) {
     while let Ok(mut batch) = lines.recv() {
+        std::thread::sleep(GATHER_TIME);
+        let mut count = 1;
         while let Ok(line) = lines.try_recv() {
             batch.extend_from_slice(&line);
+            count += 1;
         }
-        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+        let written = output.write_all(&batch).and_then(|()| output.flush());
+        PENDING_LINES.fetch_sub(count, Ordering::Relaxed);
+        if written.is_err() {
             return;
         }
     }
 }
+
+/// Waits before the end of the process until all lines are written, at most for `limit`.
+pub fn settle(limit: Duration) {
+    let deadline = Instant::now() + limit;
+    while PENDING_LINES.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+        std::thread::sleep(GATHER_TIME);
+    }
+}
--- a/src/gateway/pressure.rs
+++ b/src/gateway/pressure.rs
@@ -14,7 +14,7 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Lateness of the process's own timers, averaged, at which it no longer keeps up. A processor
-/// quota alone makes timers up to a tenth of a second late.
+/// quota alone makes single timers up to a tenth of a second late.
 const LATE_LIMIT: Duration = Duration::from_millis(120);
 
 /// Lateness at which it keeps up again.
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -386,6 +386,22 @@
     );
 }
 
+/// Guards against a call that was cut off by broken engines being refused though it runs well.
+#[gtest]
+fn dispatch_call_answered_between_failures_goes_on() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b", "c", "d", "e"], now);
+    let outcomes =
+        [CallOutcome::Broken, CallOutcome::Broken, CallOutcome::Completed, CallOutcome::Broken];
+    for (id, outcome) in (0..).zip(outcomes) {
+        let suspect = ArrivingCall { fingerprint: 77, ..call(id, "team", prompt(id, 0, 9), now) };
+        let grant = send(&mut dispatcher, suspect, now).expect("the call gets an upstream");
+        dispatcher.ended(grant.id, outcome, false, now);
+    }
+    let again = ArrivingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) };
+    assert_that!(send(&mut dispatcher, again, now), some(anything()));
+}
+
 /// Guards against crashes that other routers saw not being counted.
 #[gtest]
 fn dispatch_call_that_crashed_elsewhere_refuses() {
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -4,7 +4,7 @@
 
 use godwitcrank::decision::direct::{
     MoveVerdict, OwedLevel, PeerReport, PeerTable, RepeatBudget, SlidingCount, TeamUse, TrialCount,
-    TrialStage, VersionTrial, owed_level,
+    TrialStage, VersionTrial,
 };
 use godwitcrank::ids::NodeId;
 use godwitcrank::routing::MoveOrder;
