--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod plan;
 mod report;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -22,6 +23,7 @@
     #[cfg(feature = "demo")]
     Demo(demo::DemoOptions),
     Report(report::BurnOptions),
+    Trace(trace::TraceOptions),
 }
 
 fn cli_parser() -> OptionParser<CliCommand> {
@@ -29,13 +31,14 @@
     let check = check::parser().map(CliCommand::Check);
     let plan = plan::parser().map(CliCommand::Plan);
     let report = report::parser().map(CliCommand::Report);
+    let trace = trace::parser().map(CliCommand::Trace);
     #[cfg(feature = "demo")]
     let commands = {
         let demo = demo::parser().map(CliCommand::Demo);
-        construct!([demo, admin, plan, check, report])
+        construct!([demo, admin, plan, check, report, trace])
     };
     #[cfg(not(feature = "demo"))]
-    let commands = construct!([admin, plan, check, report]);
+    let commands = construct!([admin, plan, check, report, trace]);
     commands
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
@@ -52,5 +55,6 @@
         #[cfg(feature = "demo")]
         CliCommand::Demo(options) => demo::execute(&options),
         CliCommand::Report(options) => report::execute(&options),
+        CliCommand::Trace(options) => trace::execute(&options),
     }
 }
