--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -25,9 +25,9 @@
 use super::relay::{AnswerBody, whole_body};
 use super::tracked_body::TrackedBody;
 use crate::decision::direct::RefusalCause;
-use crate::ids::CallFingerprint;
+use crate::ids::{CallFingerprint, TeamId};
 use crate::lifecycle::daemon::{DrainingDaemon, ServingDaemon, StartingDaemon};
-use crate::routing::{CallKind, CallerLimits, RouteMatch, RouteTable, draw_target};
+use crate::routing::{CallKind, CallerLimits, RouteEntry, RouteMatch, RouteTable, draw_target};
 use crate::supervisor::StopSignal;
 
 /// Time after the stop signal after which no new stream is taken: streams last seconds, and the
@@ -311,7 +311,7 @@
     table: &RouteTable,
     head: &request::Parts,
     facts: &CallHead,
-) -> Result<(Arc<crate::routing::RouteEntry>, Option<crate::ids::TeamId>), GatewayRefusal> {
+) -> Result<(Arc<RouteEntry>, Option<TeamId>), GatewayRefusal> {
     let host = head
         .uri
         .host()
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -14,7 +14,7 @@
 use super::observe::GatewayMetrics;
 use super::settings::GatewaySettings;
 use crate::decision::direct::{
-    CallVerdict, DirectDispatcher, MoveVerdict, PeerReport, TrialStage, trial_counts,
+    CallOutcome, CallVerdict, DirectDispatcher, MoveVerdict, PeerReport, TrialStage, trial_counts,
 };
 use crate::ids::{CallId, Incarnation, NodeId};
 use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
@@ -93,7 +93,6 @@
     dispatcher: DirectDispatcher,
     replies: IndexMap<CallId, oneshot::Sender<CallVerdict>>,
     members: IndexMap<NodeId, MemberEntry>,
-    members_read: Instant,
     sequence: u64,
     last_report: Option<Instant>,
     behind_since: Option<Instant>,
@@ -114,7 +113,6 @@
             dispatcher,
             replies: IndexMap::new(),
             members: IndexMap::new(),
-            members_read: Instant::now(),
             sequence: 0,
             last_report: None,
             behind_since: None,
@@ -143,9 +141,8 @@
                 }
             }
             ControlEvent::View(batch) => {
-                let source = "store";
                 let changes = self.view.apply(batch);
-                self.take_changes(changes, source, now);
+                self.take_changes(changes, "store", now);
             }
             ControlEvent::SourceRegained => self.dispatcher.store_regained(now),
             ControlEvent::Import(export) => {
@@ -157,7 +154,7 @@
                 let _ = reply.send(self.view.export());
             }
             ControlEvent::Peer(report) => self.dispatcher.record_peer(report, now),
-            ControlEvent::Members(members) => self.take_members(members, now),
+            ControlEvent::Members(members) => self.take_members(members),
             ControlEvent::MoveRecorded(record) => self.adopt_move(&record),
             ControlEvent::Leaving => self.leaving = true,
         }
@@ -210,7 +207,7 @@
         }
     }
 
-    fn take_members(&mut self, members: Vec<MemberEntry>, now: Instant) {
+    fn take_members(&mut self, members: Vec<MemberEntry>) {
         let own = Arc::clone(&self.parts.settings.node);
         let alive: IndexMap<NodeId, MemberEntry> = members
             .into_iter()
@@ -225,7 +222,6 @@
         }
         let others = alive.keys().filter(|node| **node != own).count();
         self.members = alive;
-        self.members_read = now;
         self.dispatcher.set_members(u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1));
     }
 
@@ -359,8 +355,7 @@
     /// The caller left while its verdict was on the way.
     fn return_grant(&mut self, verdict: CallVerdict) {
         if let CallVerdict::Send(grant) = verdict {
-            let outcome = crate::decision::direct::CallOutcome::Unsent;
-            self.dispatcher.ended(grant.id, outcome, false, Instant::now());
+            self.dispatcher.ended(grant.id, CallOutcome::Unsent, false, Instant::now());
         }
     }
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 use super::edge::{MemberEntry, MoveRecord};
+use super::observe::GatewayMetrics;
 use crate::decision::direct::{ArrivingCall, CallOutcome, CallVerdict, PeerReport};
 use crate::ids::{CallId, GrantId};
 use crate::routing::{ViewBatch, ViewExport};
@@ -53,6 +55,19 @@
 /// Sending side of the control channel.
 pub type ControlSender = mpsc::Sender<ControlEvent>;
 
+/// Sends an event that may be dropped when the control thread is far behind or has ended.
+pub fn tell(control: &ControlSender, metrics: &GatewayMetrics, event: ControlEvent) {
+    match control.try_send(event) {
+        Ok(()) => {}
+        Err(TrySendError::Full(_)) => {
+            metrics.events_dropped.inc();
+            log::error!("the control queue is full; an event was dropped");
+        }
+        // The process stops; nobody needs the event any more.
+        Err(TrySendError::Closed(_)) => log::debug!("an event came after the control thread"),
+    }
+}
+
 /// A report and the routers it goes to.
 #[derive(Debug)]
 pub struct PeerMail {
--- a/src/gateway/grant_hold.rs
+++ b/src/gateway/grant_hold.rs
@@ -1,10 +1,12 @@
 //! Reports the end of a grant exactly once, also when the caller leaves.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::GatewayContext;
 use super::edge::GatewayEdge;
-use super::events::{ControlEvent, ControlSender};
+use super::events::{ControlEvent, ControlSender, tell};
+use super::observe::GatewayMetrics;
 use crate::decision::direct::CallOutcome;
 use crate::ids::GrantId;
 
@@ -12,7 +14,7 @@
 #[derive(Debug)]
 pub struct GrantHold {
     control: ControlSender,
-    metrics: std::sync::Arc<super::observe::GatewayMetrics>,
+    metrics: Arc<GatewayMetrics>,
     grant: GrantId,
     due: Instant,
     began: bool,
@@ -30,7 +32,7 @@
     ) -> Self {
         Self {
             control: context.control.clone(),
-            metrics: std::sync::Arc::clone(&context.metrics),
+            metrics: Arc::clone(&context.metrics),
             grant,
             due: arrived + objective,
             began: false,
@@ -61,10 +63,7 @@
     }
 
     fn tell(&self, event: ControlEvent) {
-        if self.control.try_send(event).is_err() {
-            self.metrics.events_dropped.inc();
-            log::error!(grant = self.grant; "the control queue is full; an event was dropped");
-        }
+        tell(&self.control, &self.metrics, event);
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -81,10 +81,7 @@
 impl<E: GatewayEdge> GatewayContext<E> {
     /// Sends an event that may be dropped when the control thread is far behind.
     fn tell(&self, event: ControlEvent) {
-        if self.control.try_send(event).is_err() {
-            self.metrics.events_dropped.inc();
-            log::error!("the control queue is full; an event was dropped");
-        }
+        events::tell(&self.control, &self.metrics, event);
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,4 +34,5 @@
 mod shutdown;
 mod support;
 mod tls;
+mod trace;
 mod version_move;
