Split the dispatcher and the callers' server by job

The dispatcher keeps calls and grants; room.rs says whether an upstream has room and what a call costs there, waiting.rs what waits, fleet_changes.rs how the view is taken in; admit.rs reads and checks calls. No rule changes.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -2,133 +2,32 @@
 
 use std::cmp::Ordering;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::call::{
-    ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptShape, RefusalCause,
-};
+use super::call::{ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, RefusalCause};
 use super::load::UpstreamLoad;
-use super::peers::{PeerLoad, PeerReport, PeerTable};
+use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
+use super::room::{
+    CallNeed, FleetBounds, PreferredUpstreams, cold_share, connection_share, expected_missing,
+    has_room, send_cost, start_parts,
+};
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_use::{OwedLevel, TeamUse};
 use super::version_trial::{TrialStage, VersionTrial};
+use super::waiting::{ChangedUpstreams, WaitingCall, give_up_at, retry_after};
 use super::window::RepeatBudget;
-use crate::decision::rendezvous::rendezvous_weight;
 use crate::ids::{
     CallFingerprint, CallId, DataCentreId, GrantId, NodeId, ServiceId, TeamId, UpstreamId,
 };
-use crate::routing::{MoveOrder, ServiceEntry, UpstreamEntry, ViewChange};
-
-/// Part of a call's objective that it may wait at the router for an upstream.
-const WAIT_PART: f64 = 0.11;
-
-/// Part of a call's objective within which its first event must be expected when it is sent.
-const START_PART: f64 = 0.62;
-
-/// The same for a call that would read shared parts again at an engine that others do not prefer:
-/// under load it rather waits for the engine that has kept them.
-const SPILL_START_PART: f64 = 0.26;
-
-/// The least of both parts, for a team whose use is far beyond what it is owed. What lies between
-/// is kept free for teams that have had less.
-const LEAST_START_PART: f64 = 0.34;
-const LEAST_SPILL_START_PART: f64 = 0.10;
-
-/// Part of the deadline that a call larger than the objective allows may take on an idle engine.
-const LARGE_CALL_PART: f64 = 0.4;
-
-/// Part of an engine's slots, memory and connections that routers use together.
-const USED_SLOTS: f64 = 0.9;
-const USED_MEMORY: f64 = 0.85;
-const USED_CONNECTIONS: f64 = 0.8;
-
-/// Calls at a plain upstream for each of its slots: some wait there, so that none of its slots is
-/// idle while an answer travels.
-const PLAIN_CALLS_PER_SLOT: f64 = 1.5;
-
-/// Calls at a plain upstream for each of its slots that all routers may have there together, also
-/// while their reports are on the way: the upstream declines what its short queue cannot hold.
-const PLAIN_SHARE_PER_SLOT: f64 = 4.0;
-
-/// Weight of reading shared parts again beside the wait that it causes.
-const REREAD_WEIGHT: f64 = 8.0;
-
-/// Chance that the first engines in a part's order have kept the part though this router has not
-/// sent it there: its peers prefer the same engines.
-const CHOICE_KEPT: [f64; 2] = [0.9, 0.6];
-
-/// Part of the fleet's bound on calls to a cold upstream that is used.
-const USED_COLD_PART: f64 = 0.8;
-
-/// Penalty of an upstream whose recent answers were all failures, as a wait.
-const FAILURE_PENALTY: Duration = Duration::from_millis(400);
-
-/// Penalty of an upstream in another data centre, as a wait.
-const DISTANCE_PENALTY: Duration = Duration::from_millis(2);
-
-/// Time for which an entry that disappeared right after the store came back is still used: the
-/// entries of live upstreams that lapsed during an outage are back by then.
-const LAPSE_GRACE: Duration = Duration::from_millis(1200);
-
-/// Part of the objective after which a refused caller should come back, and its spread.
-const RETRY_PART: f64 = 0.2;
-
-/// Bounds that hold for all routers together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetBounds {
-    /// Repeats for each call to a service.
-    pub repeat_ratio: f64,
-    /// Window of the budget for repeats.
-    pub repeat_window: Duration,
-    /// Repeats that are allowed besides.
-    pub repeat_slack: f64,
-    /// Factor on a cold upstream's calls a second.
-    pub cold_factor: f64,
-    /// Calls a second that a cold upstream may get besides.
-    pub cold_slack: f64,
-}
+use crate::routing::ServiceEntry;
 
 /// A service and its budget for repeats.
 #[derive(Debug)]
-struct ServiceState {
-    entry: ServiceEntry,
-    repeats: RepeatBudget,
-}
-
-/// A call without an upstream.
-#[derive(Debug)]
-struct WaitingCall {
-    call: ArrivingCall,
-    /// Whether all upstreams were looked at for it.
-    seen_all: bool,
-}
-
-/// Upstreams whose room may have grown since the waiting calls were last looked at.
-#[derive(Debug)]
-enum ChangedUpstreams {
-    All,
-    Some(IndexSet<UpstreamId>),
-}
-
-impl ChangedUpstreams {
-    fn note(&mut self, upstream: &UpstreamId) {
-        if let Self::Some(changed) = self {
-            changed.insert(Arc::clone(upstream));
-        }
-    }
-
-    fn contains(&self, upstream: &UpstreamId) -> bool {
-        match self {
-            Self::All => true,
-            Self::Some(changed) => changed.contains(upstream),
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        matches!(self, Self::Some(changed) if changed.is_empty())
-    }
+pub(super) struct ServiceState {
+    pub(super) entry: ServiceEntry,
+    pub(super) repeats: RepeatBudget,
 }
 
 /// A call that was sent to an upstream.
@@ -150,22 +49,22 @@
 pub struct DirectDispatcher {
     node: NodeId,
     data_centre: DataCentreId,
-    bounds: FleetBounds,
-    services: IndexMap<ServiceId, ServiceState>,
-    upstreams: IndexMap<UpstreamId, UpstreamLoad>,
-    taken_out: IndexSet<DataCentreId>,
-    trials: IndexMap<ServiceId, VersionTrial>,
+    pub(super) bounds: FleetBounds,
+    pub(super) services: IndexMap<ServiceId, ServiceState>,
+    pub(super) upstreams: IndexMap<UpstreamId, UpstreamLoad>,
+    pub(super) taken_out: IndexSet<DataCentreId>,
+    pub(super) trials: IndexMap<ServiceId, VersionTrial>,
     waiting: Vec<WaitingCall>,
-    changed: ChangedUpstreams,
+    pub(super) changed: ChangedUpstreams,
     grants: IndexMap<GrantId, GrantedCall>,
     next_grant: GrantId,
     teams: TeamUse,
-    work_rate: Option<f64>,
+    pub(super) work_rate: Option<f64>,
     owed_level: OwedLevel,
     peer_use: IndexMap<TeamId, f64>,
     peers: PeerTable,
     suspects: SuspectList,
-    regained: Option<Instant>,
+    pub(super) regained: Option<Instant>,
 }
 
 impl DirectDispatcher {
@@ -228,94 +127,6 @@
         self.regained = Some(now);
     }
 
-    /// Takes a change of the fleet's view in.
-    pub fn apply(&mut self, change: &ViewChange, now: Instant) {
-        self.changed = ChangedUpstreams::All;
-        match change {
-            ViewChange::Sheet(sheet) => {
-                let mut services = IndexMap::new();
-                for entry in &sheet.services {
-                    let repeats = self.services.swap_remove(&entry.name).map_or_else(
-                        || RepeatBudget::new(self.bounds.repeat_window),
-                        |state| state.repeats,
-                    );
-                    let state = ServiceState { entry: entry.clone(), repeats };
-                    services.insert(Arc::clone(&entry.name), state);
-                }
-                self.services = services;
-                self.work_rate = sheet.work_rate;
-            }
-            ViewChange::TakenOut(centre) => {
-                self.taken_out.insert(Arc::clone(centre));
-            }
-            ViewChange::TakenBack(centre) => {
-                self.taken_out.shift_remove(centre);
-                self.mark_centre_cold(centre, now);
-            }
-            ViewChange::MoveOrdered(order) => self.start_trial(order, now),
-            ViewChange::MoveEnded(service) => {
-                self.trials.shift_remove(service);
-            }
-            ViewChange::Upstream(id, entry) => self.update_upstream(id, entry, now),
-            ViewChange::UpstreamGone(id) => self.remove_upstream(id, now),
-        }
-    }
-
-    fn start_trial(&mut self, order: &MoveOrder, now: Instant) {
-        let known = self.trials.get(&order.service).is_some_and(|trial| trial.order() == order);
-        if !known {
-            let trial = VersionTrial::new(order.clone(), now);
-            self.trials.insert(Arc::clone(&order.service), trial);
-        }
-    }
-
-    /// The upstreams of a data centre that was out may have become cold without a word.
-    fn mark_centre_cold(&mut self, centre: &DataCentreId, now: Instant) {
-        for load in self.upstreams.values_mut() {
-            if load.entry.data_centre == *centre
-                && let Some(service) = self.services.get(&load.entry.service)
-            {
-                load.cold.mark(now + service.entry.cold_period);
-            }
-        }
-    }
-
-    fn update_upstream(&mut self, id: &UpstreamId, entry: &UpstreamEntry, now: Instant) {
-        let cold_period = self
-            .services
-            .get(&entry.service)
-            .map_or(Duration::ZERO, |state| state.entry.cold_period);
-        let load = self
-            .upstreams
-            .entry(Arc::clone(id))
-            .or_insert_with(|| UpstreamLoad::new(id, entry.clone()));
-        if entry.started != load.entry.started {
-            load.memory.clear();
-            load.cold.mark(now + cold_period.max(entry.cold_left));
-        }
-        if !entry.cold_left.is_zero() {
-            load.cold.mark(now + entry.cold_left);
-        }
-        load.entry = entry.clone();
-        load.lapsed = None;
-    }
-
-    fn remove_upstream(&mut self, id: &UpstreamId, now: Instant) {
-        let in_grace = self.regained.is_some_and(|at| now.duration_since(at) < LAPSE_GRACE);
-        match self.upstreams.get_mut(id) {
-            Some(load) if in_grace => load.lapsed = Some(now),
-            _ => {
-                self.upstreams.swap_remove(id);
-            }
-        }
-    }
-
-    /// Removes the upstreams whose entries did not come back after an outage of the store.
-    pub fn expire_lapsed(&mut self, now: Instant) {
-        self.upstreams
-            .retain(|_, load| load.lapsed.is_none_or(|at| now.duration_since(at) < LAPSE_GRACE));
-    }
-
     /// Takes a report of another router in.
     pub fn record_peer(&mut self, report: PeerReport, now: Instant) {
         let Some(change) = self.peers.record(report, now) else { return };
@@ -541,14 +352,8 @@
         let routers = self.peers.routers(now);
         let connections = connection_share(service, routers);
         let team_use = self.fleet_use(call.team.as_deref(), now);
-        let (start_part, spill_part) = start_parts(team_use, self.owed_level);
-        let preferred = call
-            .prompt
-            .as_ref()
-            .and_then(PromptShape::affinity_part)
-            .map_or([None; CHOICE_KEPT.len()], |part| {
-                preferred_upstreams(&self.upstreams, usable, part)
-            });
+        let parts = start_parts(team_use, self.owed_level);
+        let preferred = PreferredUpstreams::of_call(call, &self.upstreams, usable);
         let mut best: Option<(f64, usize, u64)> = None;
         for index in usable {
             let (id, load) = self.upstreams.get_index_mut(*index)?;
@@ -562,27 +367,14 @@
             {
                 continue;
             }
-            let rank = preferred.iter().position(|preferred| *preferred == Some(*index));
+            let rank = preferred.rank(*index);
             let missing =
                 call.prompt.as_ref().map_or(0, |prompt| expected_missing(load, prompt, rank));
-            let has_room = match (&call.prompt, service.memory_tokens) {
-                (Some(prompt), Some(memory)) => {
-                    let spilled = rank != Some(0) && lacks_shared(prompt, missing);
-                    let part = if spilled { spill_part } else { start_part };
-                    model_has_room(load, call, prompt, (missing, memory), part, now)
-                }
-                _ => plain_has_room(load, routers),
-            };
-            if !has_room {
+            let need = CallNeed { missing, rank, parts };
+            if !has_room(load, call, service, need, routers, now) {
                 continue;
             }
-            let mut cost = load.expected_wait(missing).as_secs_f64()
-                + REREAD_WEIGHT * load.read_time(missing).as_secs_f64()
-                + FAILURE_PENALTY.as_secs_f64() * load.failure_share()
-                + f64::from(load.running()) / f64::from(load.entry.slots.max(1)) * 0.01;
-            if load.entry.data_centre != self.data_centre {
-                cost += DISTANCE_PENALTY.as_secs_f64();
-            }
+            let cost = send_cost(load, missing, &self.data_centre);
             if best.is_none_or(|(lowest, _, _)| cost < lowest) {
                 best = Some((cost, *index, missing));
             }
@@ -714,125 +506,12 @@
     }
 }
 
-/// When a waiting call is refused.
-fn give_up_at(call: &ArrivingCall) -> Instant {
-    let wait = call.objective.mul_f64(WAIT_PART);
-    (call.arrived + wait).min(call.deadline)
-}
-
-/// When a refused caller should come back; spread so that callers do not return together.
-fn retry_after(call: &ArrivingCall) -> Duration {
-    let spread = 0.6 + (call.id % 9) as f64 / 10.0;
-    call.objective.mul_f64(RETRY_PART * spread)
-}
-
-/// Parts of the objective for calls of a team: full up to the owed level, less with each step of
-/// use beyond it, so that of two teams beyond it the one that had less gets more.
-fn start_parts(team_use: f64, level: OwedLevel) -> (f64, f64) {
-    let owed = level.owed_part(team_use);
-    let between = |least: f64, full: f64| least + (full - least) * owed;
-    (between(LEAST_START_PART, START_PART), between(LEAST_SPILL_START_PART, SPILL_START_PART))
-}
-
-/// Connections to one upstream that this router may use.
-fn connection_share(service: &ServiceEntry, routers: u32) -> u32 {
-    let share = f64::from(service.connection_limit) * USED_CONNECTIONS / f64::from(routers.max(1));
-    (share as u32).max(1)
-}
-
-/// Calls that this router may send to a cold upstream in a second.
-///
-/// Where there are more routers than calls, a hash of router and upstream picks the routers that
-/// may send one.
-fn cold_share(
-    service: &ServiceEntry,
-    bounds: FleetBounds,
-    routers: u32,
-    upstream: &UpstreamId,
-    node: &NodeId,
-) -> u32 {
-    if service.cold_rate <= 0.0 {
-        return u32::MAX;
-    }
-    let bound = (service.cold_rate * bounds.cold_factor + bounds.cold_slack) * USED_COLD_PART;
-    let share = bound / f64::from(routers.max(1));
-    if share >= 1.0 {
-        return share as u32;
-    }
-    let chance = (rendezvous_weight(upstream, node) >> 11) as f64 / (1_u64 << 53) as f64;
-    u32::from(chance < share)
-}
-
-/// The engines that every router prefers for a prompt part, by rendezvous hashing.
-fn preferred_upstreams(
-    upstreams: &IndexMap<UpstreamId, UpstreamLoad>,
-    usable: &[usize],
-    part: u64,
-) -> [Option<usize>; CHOICE_KEPT.len()] {
-    let mut first: [Option<(u64, usize)>; CHOICE_KEPT.len()] = [None; CHOICE_KEPT.len()];
-    for index in usable {
-        let mut candidate = Some((upstreams[*index].affinity(part), *index));
-        for place in &mut first {
-            if candidate > *place {
-                std::mem::swap(place, &mut candidate);
-            }
-        }
-    }
-    first.map(|place| place.map(|(_, index)| index))
-}
-
-/// Prompt tokens that the upstream probably has to read.
-fn expected_missing(load: &UpstreamLoad, prompt: &PromptShape, rank: Option<usize>) -> u64 {
-    let missing = load.memory.missing_tokens(prompt);
-    let Some(rank) = rank else { return missing };
-    let own: u64 = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
-    let shared = missing.saturating_sub(own);
-    own.min(missing) + (shared as f64 * (1.0 - CHOICE_KEPT[rank])) as u64
-}
-
-/// Returns whether the prompt tokens to read include shared ones.
-fn lacks_shared(prompt: &PromptShape, missing: u64) -> bool {
-    missing > prompt.parts.last().map_or(0, |part| u64::from(part.tokens))
-}
-
-fn model_has_room(
-    load: &UpstreamLoad,
-    call: &ArrivingCall,
-    prompt: &PromptShape,
-    (missing, memory): (u64, u64),
-    start_part: f64,
-    now: Instant,
-) -> bool {
-    let slots = f64::from(load.entry.slots) * USED_SLOTS;
-    if f64::from(load.running()) >= slots {
-        return false;
-    }
-    let held = load.held_tokens() + u64::from(prompt.tokens_in) + u64::from(prompt.tokens_out);
-    if held as f64 > memory as f64 * USED_MEMORY && load.running() > 0 {
-        return false;
-    }
-    let elapsed = now.duration_since(call.arrived);
-    let wait = load.expected_wait(missing) + elapsed;
-    if wait <= call.objective.mul_f64(start_part) {
-        return true;
-    }
-    let idle = load.own.waiting_tokens + load.peers.waiting_tokens == 0;
-    idle && wait <= call.deadline.duration_since(call.arrived).mul_f64(LARGE_CALL_PART)
-}
-
-fn plain_has_room(load: &UpstreamLoad, routers: u32) -> bool {
-    let slots = f64::from(load.entry.slots);
-    let share = (slots * PLAIN_SHARE_PER_SLOT / f64::from(routers.max(1))).max(1.0);
-    f64::from(load.own.running) < share.floor()
-        && f64::from(load.running()) < slots * PLAIN_CALLS_PER_SLOT
-}
-
 /// Names of the routers that report a move of a service, with their counts.
 pub fn trial_counts(
     peers: &PeerTable,
     service: &ServiceId,
     now: Instant,
-) -> IndexMap<NodeId, super::peers::TrialCount> {
+) -> IndexMap<NodeId, TrialCount> {
     peers
         .trials(now)
         .filter_map(|(node, counts)| {
--- /dev/null
+++ b/src/decision/direct/fleet_changes.rs
@@ -0,0 +1,108 @@
+//! Changes of the fleet's view as the dispatcher takes them in.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::dispatcher::{DirectDispatcher, ServiceState};
+use super::load::UpstreamLoad;
+use super::version_trial::VersionTrial;
+use super::waiting::ChangedUpstreams;
+use super::window::RepeatBudget;
+use crate::ids::{DataCentreId, UpstreamId};
+use crate::routing::{MoveOrder, UpstreamEntry, ViewChange};
+
+/// Time for which an entry that disappeared right after the store came back is still used: the
+/// entries of live upstreams that lapsed during an outage are back by then.
+const LAPSE_GRACE: Duration = Duration::from_millis(1200);
+
+impl DirectDispatcher {
+    /// Takes a change of the fleet's view in.
+    pub fn apply(&mut self, change: &ViewChange, now: Instant) {
+        self.changed = ChangedUpstreams::All;
+        match change {
+            ViewChange::Sheet(sheet) => {
+                let mut services = IndexMap::new();
+                for entry in &sheet.services {
+                    let repeats = self.services.swap_remove(&entry.name).map_or_else(
+                        || RepeatBudget::new(self.bounds.repeat_window),
+                        |state| state.repeats,
+                    );
+                    let state = ServiceState { entry: entry.clone(), repeats };
+                    services.insert(Arc::clone(&entry.name), state);
+                }
+                self.services = services;
+                self.work_rate = sheet.work_rate;
+            }
+            ViewChange::TakenOut(centre) => {
+                self.taken_out.insert(Arc::clone(centre));
+            }
+            ViewChange::TakenBack(centre) => {
+                self.taken_out.shift_remove(centre);
+                self.mark_centre_cold(centre, now);
+            }
+            ViewChange::MoveOrdered(order) => self.start_trial(order, now),
+            ViewChange::MoveEnded(service) => {
+                self.trials.shift_remove(service);
+            }
+            ViewChange::Upstream(id, entry) => self.update_upstream(id, entry, now),
+            ViewChange::UpstreamGone(id) => self.remove_upstream(id, now),
+        }
+    }
+
+    fn start_trial(&mut self, order: &MoveOrder, now: Instant) {
+        let known = self.trials.get(&order.service).is_some_and(|trial| trial.order() == order);
+        if !known {
+            let trial = VersionTrial::new(order.clone(), now);
+            self.trials.insert(Arc::clone(&order.service), trial);
+        }
+    }
+
+    /// The upstreams of a data centre that was out may have become cold without a word.
+    fn mark_centre_cold(&mut self, centre: &DataCentreId, now: Instant) {
+        for load in self.upstreams.values_mut() {
+            if load.entry.data_centre == *centre
+                && let Some(service) = self.services.get(&load.entry.service)
+            {
+                load.cold.mark(now + service.entry.cold_period);
+            }
+        }
+    }
+
+    fn update_upstream(&mut self, id: &UpstreamId, entry: &UpstreamEntry, now: Instant) {
+        let cold_period = self
+            .services
+            .get(&entry.service)
+            .map_or(Duration::ZERO, |state| state.entry.cold_period);
+        let load = self
+            .upstreams
+            .entry(Arc::clone(id))
+            .or_insert_with(|| UpstreamLoad::new(id, entry.clone()));
+        if entry.started != load.entry.started {
+            load.memory.clear();
+            load.cold.mark(now + cold_period.max(entry.cold_left));
+        }
+        if !entry.cold_left.is_zero() {
+            load.cold.mark(now + entry.cold_left);
+        }
+        load.entry = entry.clone();
+        load.lapsed = None;
+    }
+
+    fn remove_upstream(&mut self, id: &UpstreamId, now: Instant) {
+        let in_grace = self.regained.is_some_and(|at| now.duration_since(at) < LAPSE_GRACE);
+        match self.upstreams.get_mut(id) {
+            Some(load) if in_grace => load.lapsed = Some(now),
+            _ => {
+                self.upstreams.swap_remove(id);
+            }
+        }
+    }
+
+    /// Removes the upstreams whose entries did not come back after an outage of the store.
+    pub fn expire_lapsed(&mut self, now: Instant) {
+        self.upstreams
+            .retain(|_, load| load.lapsed.is_none_or(|at| now.duration_since(at) < LAPSE_GRACE));
+    }
+}
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -5,20 +5,24 @@
 
 mod call;
 mod dispatcher;
+mod fleet_changes;
 mod load;
 mod peers;
+mod room;
 mod suspects;
 mod team_use;
 mod version_trial;
+mod waiting;
 mod window;
 
 pub use call::{
     ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, PromptPart, PromptShape,
     RefusalCause,
 };
-pub use dispatcher::{DirectDispatcher, FleetBounds, trial_counts};
+pub use dispatcher::{DirectDispatcher, trial_counts};
 pub use load::{ColdPace, PromptMemory, UpstreamLoad};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
+pub use room::FleetBounds;
 pub use suspects::SuspectList;
 pub use team_use::{OwedLevel, TeamUse};
 pub use version_trial::{MoveVerdict, TrialStage, VersionTrial};
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 use super::GatewayContext;
+use super::admit::CALL_UNITS;
 use super::call_log::CallLog;
-use super::caller::CALL_UNITS;
 use super::edge::{AnswerFacts, CallDialect, CallHead, ForwardedCall, GatewayEdge, GatewayRefusal};
 use super::event_frames::EventFrames;
 use super::events::ControlEvent;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! the keeper of the members, the writer of move records, the exchange between routers, the
 //! balancer's probe and the callers' server. `edge` is the seam to the platform.
 
+mod admit;
 mod call_log;
 mod call_run;
 mod caller;
@@ -50,7 +51,8 @@
 pub use observe::GatewayMetrics;
 pub use settings::GatewaySettings;
 
-use caller::{CallCounter, LifeSlot, SPACE_UNIT};
+use admit::SPACE_UNIT;
+use caller::{CallCounter, LifeSlot};
 use control::{ControlParts, OutboxEnds, TableWatch, control_channels, run_control};
 use events::{ControlEvent, ControlSender};
 use pool::UpstreamPool;
