Let reports carry their router's address

A router that had read the members before its peer joined, and was then turned away by the store, heard that the peer knew more but did not know where to fetch it. Reports name their router's address now, and also go to routers that are known by reports only.

--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -1,5 +1,6 @@
 //! What other routers report, and how many routers there may be.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -88,6 +89,8 @@
 pub struct PeerReport {
     /// The router.
     pub node: NodeId,
+    /// Where it takes reports and calls of other routers.
+    pub address: SocketAddr,
     /// Its life.
     pub incarnation: Incarnation,
     /// Number of the report within the life.
@@ -198,9 +201,9 @@
         self.alive(now).map(|(node, peer)| (node, peer.report.trials.as_slice()))
     }
 
-    /// The peers that are alive, by their reports.
-    pub fn alive_nodes(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
-        self.alive(now).map(|(node, _)| node)
+    /// Addresses of the peers that are alive, by their reports.
+    pub fn addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        self.alive(now).map(|(_, peer)| peer.report.address)
     }
 
     /// A peer that knows more of either part than the given revisions.
@@ -209,12 +212,12 @@
         operators: StoreRevision,
         upstreams: StoreRevision,
         now: Instant,
-    ) -> Option<&NodeId> {
+    ) -> Option<(&NodeId, SocketAddr)> {
         self.alive(now)
             .find(|(_, peer)| {
                 peer.report.operators > operators || peer.report.upstreams > upstreams
             })
-            .map(|(node, _)| node)
+            .map(|(node, peer)| (node, peer.report.address))
     }
 
     fn alive(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &HeardPeer)> {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
@@ -243,8 +243,8 @@
     fn fetch_when_behind(&mut self, now: Instant) {
         let operators = self.view.revision(ViewPart::Operators);
         let upstreams = self.view.revision(ViewPart::Upstreams);
-        let peer = self.dispatcher.peers().better_informed(operators, upstreams, now).cloned();
-        let Some(peer) = peer else {
+        let peer = self.dispatcher.peers().better_informed(operators, upstreams, now);
+        let Some((peer, address)) = peer else {
             self.behind_since = None;
             return;
         };
@@ -253,19 +253,22 @@
             return;
         }
         self.behind_since = Some(now);
-        if let Some(member) = self.members.get(&peer) {
-            log::info!(peer = &*peer, operators, upstreams; "fetching a newer view from a peer");
-            if self.parts.outbox.fetches.try_send(member.address).is_err() {
-                log::debug!("a view is being fetched already");
-            }
+        log::info!(peer = &**peer, operators, upstreams; "fetching a newer view from a peer");
+        if self.parts.outbox.fetches.try_send(address).is_err() {
+            log::debug!("a view is being fetched already");
         }
     }
 
     fn report(&mut self, now: Instant) {
-        let peers = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        // A router that joined while the store does not answer is known by its reports only.
+        let named = self.members.values().map(|member| member.address);
+        let heard = self.dispatcher.peers().addresses(now);
+        let addresses: IndexSet<SocketAddr> =
+            named.chain(heard).filter(|address| *address != self.parts.settings.peer).collect();
+        let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
         let interval = REPORT_INTERVAL.max(Duration::from_secs(1) * peers / REPORTS_PER_SECOND);
         let due = self.last_report.is_none_or(|last| now.duration_since(last) >= interval);
-        if !due || self.members.is_empty() {
+        if !due || addresses.is_empty() {
             return;
         }
         self.last_report = Some(now);
@@ -273,6 +276,7 @@
         let settings = &self.parts.settings;
         let mut report = PeerReport {
             node: Arc::clone(&settings.node),
+            address: settings.peer,
             incarnation: self.parts.incarnation,
             sequence: self.sequence,
             operators: self.view.revision(ViewPart::Operators),
@@ -284,12 +288,7 @@
             leaving: self.leaving,
         };
         self.dispatcher.fill_report(&mut report, now);
-        let addresses: Vec<SocketAddr> = self
-            .members
-            .values()
-            .filter(|member| member.node != settings.node)
-            .map(|member| member.address)
-            .collect();
+        let addresses = addresses.into_iter().collect();
         if let Err(TrySendError::Full(_)) =
             self.parts.outbox.mail.try_send(PeerMail { report, addresses })
         {
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -147,6 +147,7 @@
 fn report(sequence: u64, loads: Vec<(UpstreamId, PeerLoad)>) -> PeerReport {
     PeerReport {
         node: "router-2".into(),
+        address: ([127, 0, 0, 1], 7400).into(),
         incarnation: 1,
         sequence,
         operators: 1,
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -17,6 +17,7 @@
 fn report(node: &str, incarnation: u64) -> PeerReport {
     PeerReport {
         node: node.into(),
+        address: ([127, 0, 0, 1], 7400).into(),
         incarnation,
         sequence: 1,
         operators: 4,
