--- a/src/decision/direct/window.rs
+++ b/src/decision/direct/window.rs
@@ -28,11 +28,6 @@
         self.events.len()
     }
 
-    /// When the oldest event leaves the window.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.events.front().map(|oldest| *oldest + self.window)
-    }
-
     fn expire(&mut self, now: Instant) {
         while self.events.front().is_some_and(|oldest| now.duration_since(*oldest) >= self.window) {
             self.events.pop_front();
--- a/src/gateway/event_frames.rs
+++ b/src/gateway/event_frames.rs
@@ -53,12 +53,6 @@
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
     }
-
-    /// Drops the part of an event that arrived before its stream broke.
-    pub fn drop_partial(&mut self) {
-        self.pending.clear();
-        self.scanned = 0;
-    }
 }
 
 /// Position after the last empty line that ends an event.
