Draw two upstreams for each call instead of comparing all

Cause: reports of other routers are up to 100 ms old, and every router compared all upstreams by them, so all sent what their preferred engines could not take to the engine that looked idle.

Change: a call may go to the two upstreams that all routers prefer for its prompt part, or to two that are drawn for it alone.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -7,11 +7,12 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::call::{ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, RefusalCause};
+use super::candidates::CandidateSet;
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
 use super::room::{
-    CallNeed, FleetBounds, PreferredUpstreams, cold_share, connection_share, expected_missing,
-    has_room, send_cost, start_parts,
+    CallNeed, FleetBounds, cold_share, connection_share, expected_missing, has_room, send_cost,
+    start_parts,
 };
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_use::{OwedLevel, TeamUse};
@@ -353,10 +354,10 @@
         let connections = connection_share(service, routers);
         let team_use = self.fleet_use(call.team.as_deref(), now);
         let parts = start_parts(team_use, self.owed_level);
-        let preferred = PreferredUpstreams::of_call(call, &self.upstreams, usable);
+        let candidates = CandidateSet::of_call(call, &self.upstreams, usable);
         let mut best: Option<(f64, usize, u64)> = None;
-        for index in usable {
-            let (id, load) = self.upstreams.get_index_mut(*index)?;
+        for index in candidates.indices() {
+            let (id, load) = self.upstreams.get_index_mut(index)?;
             if only.is_some_and(|only| !only.contains(id)) {
                 continue;
             }
@@ -367,7 +368,7 @@
             {
                 continue;
             }
-            let rank = preferred.rank(*index);
+            let rank = candidates.rank(index);
             let missing =
                 call.prompt.as_ref().map_or(0, |prompt| expected_missing(load, prompt, rank));
             let need = CallNeed { missing, rank, parts };
@@ -376,7 +377,7 @@
             }
             let cost = send_cost(load, missing, &self.data_centre);
             if best.is_none_or(|(lowest, _, _)| cost < lowest) {
-                best = Some((cost, *index, missing));
+                best = Some((cost, index, missing));
             }
         }
         let (_, index, missing) = best?;
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -4,6 +4,7 @@
 //! and by its peers, and the shares of the budgets that bind all routers together.
 
 mod call;
+mod candidates;
 mod dispatcher;
 mod fleet_changes;
 mod load;
--- a/src/decision/direct/room.rs
+++ b/src/decision/direct/room.rs
@@ -2,9 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
-
 use super::call::{ArrivingCall, PromptShape};
+use super::candidates::PREFERRED_UPSTREAMS;
 use super::load::UpstreamLoad;
 use super::team_use::OwedLevel;
 use crate::decision::rendezvous::rendezvous_weight;
@@ -44,7 +43,7 @@
 
 /// Chance that the first engines in a part's order have kept the part though this router has not
 /// sent it there: its peers prefer the same engines.
-const CHOICE_KEPT: [f64; 2] = [0.9, 0.6];
+const CHOICE_KEPT: [f64; PREFERRED_UPSTREAMS] = [0.9, 0.6];
 
 /// Part of the fleet's bound on calls to a cold upstream that is used.
 const USED_COLD_PART: f64 = 0.8;
@@ -131,35 +130,6 @@
     u32::from(chance < share)
 }
 
-/// The engines that every router prefers for a prompt part, by rendezvous hashing.
-pub(super) struct PreferredUpstreams([Option<usize>; CHOICE_KEPT.len()]);
-
-impl PreferredUpstreams {
-    /// Ranks the usable upstreams for a call; none are preferred for calls without a prompt.
-    pub(super) fn of_call(
-        call: &ArrivingCall,
-        upstreams: &IndexMap<UpstreamId, UpstreamLoad>,
-        usable: &[usize],
-    ) -> Self {
-        let mut first: [Option<(u64, usize)>; CHOICE_KEPT.len()] = [None; CHOICE_KEPT.len()];
-        let part = call.prompt.as_ref().and_then(PromptShape::affinity_part);
-        for index in usable.iter().filter(|_| part.is_some()) {
-            let mut candidate = part.map(|part| (upstreams[*index].affinity(part), *index));
-            for place in &mut first {
-                if candidate > *place {
-                    std::mem::swap(place, &mut candidate);
-                }
-            }
-        }
-        Self(first.map(|place| place.map(|(_, index)| index)))
-    }
-
-    /// Place of an upstream among the preferred ones.
-    pub(super) fn rank(&self, index: usize) -> Option<usize> {
-        self.0.iter().position(|preferred| *preferred == Some(index))
-    }
-}
-
 /// Prompt tokens that the upstream probably has to read.
 pub(super) fn expected_missing(
     load: &UpstreamLoad,
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -196,6 +196,26 @@
     }
 }
 
+/// Guards against routers that all send to the one engine that looks idle in old reports.
+#[gtest]
+fn dispatch_old_reports_spread_over_upstreams() {
+    let now = Instant::now();
+    let names: Vec<String> = (0..20).map(|number| format!("engine-{number}")).collect();
+    let idle = &names[0];
+    let busy = PeerLoad { running: 10, waiting_tokens: 5_000, held_tokens: 50_000 };
+    let loads: Vec<(UpstreamId, PeerLoad)> =
+        names[1..].iter().map(|name| (name.as_str().into(), busy)).collect();
+    let mut at_idle = 0;
+    for router in 0..20 {
+        let upstreams: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut dispatcher = fleet(&upstreams, now);
+        dispatcher.record_peer(report(1, loads.clone()), now);
+        let grant = send(&mut dispatcher, call(router, "team", prompt(router, 0, 500), now), now);
+        at_idle += u32::from(grant.is_some_and(|grant| *grant.upstream == **idle));
+    }
+    expect_that!(at_idle, le(8));
+}
+
 /// Guards against a queue at an engine that makes every first event late.
 #[gtest]
 fn dispatch_full_upstream_refuses() {
