Let a router exceed its share of a plain upstream while slots are free

Cause: with 29 routers, each may have one call at a plain upstream of six slots. The share guards the upstream's short queue against all routers together; reports are enough while they say that slots are free, now that calls are spread over drawn upstreams.

Tests: direct_dispatch::dispatch_plain_free_slots_beyond_share, dispatch_plain_taken_slots_within_share.

--- a/src/decision/direct/room.rs
+++ b/src/decision/direct/room.rs
@@ -30,14 +30,17 @@
 const USED_MEMORY: f64 = 0.85;
 const USED_CONNECTIONS: f64 = 0.8;
 
-/// Calls at a plain upstream for each of its slots: some wait there, so that none of its slots is
-/// idle while an answer travels.
-const PLAIN_CALLS_PER_SLOT: f64 = 1.5;
+/// Calls at a plain upstream for each of its slots that routers send by each other's reports: some
+/// wait there, so that none of its slots is idle while an answer travels.
+const PLAIN_CALLS_PER_SLOT: f64 = 2.0;
 
-/// Calls at a plain upstream for each of its slots that all routers may have there together, also
-/// while their reports are on the way: the upstream declines what its short queue cannot hold.
+/// Calls at a plain upstream for each of its slots that all routers may have there together
+/// whatever the reports say: the upstream declines what its short queue cannot hold.
 const PLAIN_SHARE_PER_SLOT: f64 = 4.0;
 
+/// Calls at a plain upstream for each of its slots up to which a router may exceed its share.
+const PLAIN_BEYOND_SHARE: f64 = 1.0;
+
 /// Weight of reading shared parts again beside the wait that it causes.
 const REREAD_WEIGHT: f64 = 8.0;
 
@@ -190,11 +193,14 @@
     idle && wait <= call.deadline.duration_since(call.arrived).mul_f64(LARGE_CALL_PART)
 }
 
+/// A router whose callers want more than those of the others may exceed its share while the
+/// reports say that slots are free.
 fn plain_has_room(load: &UpstreamLoad, routers: u32) -> bool {
     let slots = f64::from(load.entry.slots);
+    let running = f64::from(load.running());
     let share = (slots * PLAIN_SHARE_PER_SLOT / f64::from(routers.max(1))).max(1.0);
-    f64::from(load.own.running) < share.floor()
-        && f64::from(load.running()) < slots * PLAIN_CALLS_PER_SLOT
+    let within_share = f64::from(load.own.running) < share.floor();
+    running < slots * PLAIN_BEYOND_SHARE || (within_share && running < slots * PLAIN_CALLS_PER_SLOT)
 }
 
 /// Cost of sending a call to an upstream, in seconds; the lowest is chosen.
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -233,6 +233,43 @@
     );
 }
 
+/// A dispatcher of a fleet of many routers with one plain upstream of six slots.
+fn plain_fleet(now: Instant) -> DirectDispatcher {
+    let mut dispatcher = fleet(&[], now);
+    dispatcher.set_members(29);
+    dispatcher.apply(&ViewChange::Upstream("plain".into(), entry("booking", 6)), now);
+    dispatcher
+}
+
+/// Sends plain calls until one has to wait; returns how many were sent.
+fn fill_plain(dispatcher: &mut DirectDispatcher, now: Instant) -> usize {
+    let plain = |id| ArrivingCall {
+        service: "booking".into(),
+        kind: CallKind::AtMostOnce,
+        prompt: None,
+        ..call(id, "team", PromptShape::default(), now)
+    };
+    (0..100).take_while(|id| send(dispatcher, plain(*id), now).is_some()).count()
+}
+
+/// Guards against slots of a plain upstream that stay idle while the callers of one router wait.
+#[gtest]
+fn dispatch_plain_free_slots_beyond_share() {
+    let now = Instant::now();
+    let mut dispatcher = plain_fleet(now);
+    assert_that!(fill_plain(&mut dispatcher, now), eq(6));
+}
+
+/// Guards against many routers that fill the short queue of a plain upstream at the same moment.
+#[gtest]
+fn dispatch_plain_taken_slots_within_share() {
+    let now = Instant::now();
+    let mut dispatcher = plain_fleet(now);
+    let taken = PeerLoad { running: 6, ..PeerLoad::default() };
+    dispatcher.record_peer(report(1, vec![("plain".into(), taken)]), now);
+    assert_that!(fill_plain(&mut dispatcher, now), eq(1));
+}
+
 /// Guards against a refused caller that is told to come back after its objective is over.
 #[gtest]
 fn dispatch_refusal_names_retry_within_objective() {
