Refuse calls and send callers away by the rate that the processor bears

Cause: a team's callers all meet one router; where it has 0.09 of a core, 500 calls a second keep it busy for seconds before the lateness of its timers, averaged over looks 200 ms apart, reaches 120 ms.

Change: demand (calls a second times 0.4 ms of processor time each, docs/CAPACITY.md) is measured beside lateness. Under both, calls beyond the rate are refused at once as not run and new connections are closed unread, so that callers go to another router; callers are sent away sooner; a relief that relapses doubles, up to 16 s. The rule moves from gateway/pressure.rs to decision/direct/pressure.rs and has tests.

--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -122,6 +122,9 @@
     /// The router stops, and the call would not end before it does.
     #[display("router-leaving")]
     Leaving,
+    /// The router gets more calls than its processor bears.
+    #[display("router-overloaded")]
+    Overloaded,
     /// The router's share of the budget for repeats is used up.
     #[display("repeat-budget")]
     RepeatBudget,
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -9,6 +9,7 @@
 mod fleet_changes;
 mod load;
 mod peers;
+mod pressure;
 mod room;
 mod suspects;
 mod team_use;
@@ -23,6 +24,7 @@
 pub use dispatcher::{DirectDispatcher, trial_counts};
 pub use load::{ColdPace, PromptMemory, UpstreamLoad};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
+pub use pressure::{CallPace, PressureLook, PressureRule};
 pub use room::FleetBounds;
 pub use suspects::SuspectList;
 pub use team_use::{OwedLevel, TeamUse};
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -37,11 +37,15 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<CallSubject, GatewayRefusal> {
+    let in_pace = context.try_take_call(arrived);
     let table = context.table.borrow().clone();
     let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
     let limit = context.limits().body_bytes;
     let (body, space) = read_body(context, &head, body, limit).await?;
     let table = table?;
+    if !in_pace {
+        return Err(overloaded(&head));
+    }
     let facts =
         context.edge.dialect().read_head(&head).map_err(|error| {
             log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem })
@@ -83,6 +87,12 @@
     }
 }
 
+/// Refuses a call that the router has no processor time for. Another router may take it at once.
+fn overloaded(head: &request::Parts) -> GatewayRefusal {
+    let cause = RefusalCause::Overloaded;
+    log_refusal(head, GatewayRefusal::NotRun { cause, retry_after: Duration::ZERO })
+}
+
 /// Writes why a call was refused before it had a run of its own.
 fn log_refusal(head: &request::Parts, refusal: GatewayRefusal) -> GatewayRefusal {
     log::info!(path = head.uri.path(), refusal:? = refusal; "call refused");
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -159,16 +159,21 @@
 ) -> eyre::Result<()> {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if context.connections.count() < context.connection_limit => {
-                let open = context.connections.enter();
-                let connection = serve_connection(Arc::clone(context), stream, stage.clone());
-                tokio::spawn(async move {
-                    connection.await;
-                    drop(open);
-                });
-            }
-            // A caller whose connection is closed unread may try another router at once.
-            Ok(_) => context.metrics.count_call("connection closed: too many"),
+            Ok((stream, caller)) => match refuse_connection(context) {
+                None => {
+                    let open = context.connections.enter();
+                    let connection = serve_connection(Arc::clone(context), stream, stage.clone());
+                    tokio::spawn(async move {
+                        connection.await;
+                        drop(open);
+                    });
+                }
+                // A caller whose connection is closed unread may try another router at once.
+                Some(reason) => {
+                    log::info!(caller:% = caller; "connection closed: {reason}");
+                    context.metrics.count_call(format!("connection closed: {reason}"));
+                }
+            },
             Err(error) => {
                 // Descriptors may be used up for a moment; connections that end free them.
                 log::warn!("cannot accept a connection: {error}");
@@ -178,6 +183,17 @@
     }
 }
 
+/// Why a new connection is closed unread, if it is.
+fn refuse_connection<E: GatewayEdge>(context: &GatewayContext<E>) -> Option<&'static str> {
+    if context.connections.count() >= context.connection_limit {
+        Some("too many are open")
+    } else if !context.has_time_for_connection(Instant::now()) {
+        Some("overloaded")
+    } else {
+        None
+    }
+}
+
 async fn serve_connection<E: GatewayEdge>(
     context: Arc<GatewayContext<E>>,
     stream: TcpStream,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,8 @@
 mod tracked_body;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use tokio::net::{TcpListener, UdpSocket};
@@ -35,6 +36,7 @@
 
 use crate::clock::incarnation;
 use crate::daemon::ready_response;
+use crate::decision::direct::CallPace;
 use crate::ids::Incarnation;
 use crate::in_flight::InFlightCounter;
 use crate::lifecycle::daemon::{ReadyWatch, StartingDaemon};
@@ -77,6 +79,9 @@
     connections: InFlightCounter,
     connection_limit: usize,
     pressed: watch::Sender<bool>,
+    pace: std::sync::Mutex<CallPace>,
+    arrivals: AtomicU64,
+    strained: AtomicBool,
     metrics: Arc<GatewayMetrics>,
 }
 
@@ -129,6 +134,9 @@
             connections: InFlightCounter::default(),
             connection_limit: settings.connection_limit(),
             pressed: watch::Sender::new(false),
+            pace: std::sync::Mutex::new(CallPace::new(settings.processor_share, Instant::now())),
+            arrivals: AtomicU64::new(0),
+            strained: AtomicBool::new(false),
             metrics: Arc::clone(&metrics),
         });
         let parts = ControlParts {
--- a/src/gateway/pressure.rs
+++ b/src/gateway/pressure.rs
@@ -4,63 +4,66 @@
 //! balancer that it is not ready and lets callers go after each answer, so that others take over.
 
 use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use super::GatewayContext;
 use super::edge::GatewayEdge;
+use crate::decision::direct::{PressureLook, PressureRule};
 use crate::supervisor::StopSignal;
 
 /// Time between two looks.
-const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Lateness of the process's own timers, averaged, at which it no longer keeps up. A processor
-/// quota alone makes single timers up to a tenth of a second late.
-const LATE_LIMIT: Duration = Duration::from_millis(120);
-
-/// Lateness at which it keeps up again.
-const PROMPT_LIMIT: Duration = Duration::from_millis(30);
-
-/// Weight of a new look in the average.
-const LATENESS_WEIGHT: f64 = 0.3;
+impl<E: GatewayEdge> GatewayContext<E> {
+    /// Counts a call and returns whether the processor has time for it.
+    pub(super) fn try_take_call(&self, now: Instant) -> bool {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+        let in_pace = self.pace.lock().unwrap_or_else(PoisonError::into_inner).try_take(now);
+        in_pace || !self.strained.load(Ordering::Relaxed)
+    }
 
-/// Part of the connections in use at which the router sends callers away, and at which it takes
-/// them again.
-const FULL_PART: f64 = 0.75;
-const ROOMY_PART: f64 = 0.5;
+    /// Returns whether the processor has time for the calls of another connection.
+    pub(super) fn has_time_for_connection(&self, now: Instant) -> bool {
+        !self.strained.load(Ordering::Relaxed)
+            || self.pace.lock().unwrap_or_else(PoisonError::into_inner).has_room(now)
+    }
 
-/// Shortest time in which callers are sent away.
-const SHORTEST_RELIEF: Duration = Duration::from_secs(2);
+    fn look(&self, interval: Duration, lateness: Duration) -> PressureLook {
+        PressureLook {
+            lateness,
+            connections_used: self.connections.count() as f64 / self.connection_limit.max(1) as f64,
+            calls: self.arrivals.swap(0, Ordering::Relaxed),
+            interval,
+        }
+    }
+}
 
-/// Looks at timers and connections until `stop` is cancelled.
+/// Looks at timers, connections and calls until `stop` is cancelled.
 pub async fn watch_pressure<E: GatewayEdge>(
     context: Arc<GatewayContext<E>>,
     stop: StopSignal,
 ) -> eyre::Result<()> {
-    let mut lateness = 0.0;
-    let mut since = Instant::now();
+    let mut rule = PressureRule::new(context.settings.processor_share, Instant::now());
+    let mut last = Instant::now();
     loop {
         let due = Instant::now() + LOOK_INTERVAL;
         tokio::select! {
             () = stop.cancelled() => return Ok(()),
             () = tokio::time::sleep_until(due.into()) => {}
         }
-        let late = due.elapsed().as_secs_f64();
-        lateness += LATENESS_WEIGHT * (late - lateness);
-        let used = context.connections.count() as f64 / context.connection_limit.max(1) as f64;
-        let pressed = *context.pressed.borrow();
-        let next = if pressed {
-            let eased = lateness < PROMPT_LIMIT.as_secs_f64() && used < ROOMY_PART;
-            !(eased && since.elapsed() >= SHORTEST_RELIEF)
-        } else {
-            lateness > LATE_LIMIT.as_secs_f64() || used > FULL_PART
-        };
-        if next != pressed {
-            since = Instant::now();
-            log::warn!(
-                lateness_ms = (lateness * 1000.0) as u64, connections_used = used;
-                "{}", if next { "overloaded; sending callers away" } else { "load eased" }
-            );
-            context.pressed.send_replace(next);
-        }
+        let now = Instant::now();
+        let look = context.look(now.duration_since(last), now.duration_since(due));
+        last = now;
+        let change = rule.look(look, now);
+        context.strained.store(rule.is_strained(), Ordering::Relaxed);
+        let Some(pressed) = change else { continue };
+        log::warn!(
+            lateness_ms = rule.lateness().as_millis() as u64,
+            connections_used = look.connections_used, demand = rule.demand();
+            "{}", if pressed { "overloaded; sending callers away" } else { "load eased" }
+        );
+        context.pressed.send_replace(pressed);
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -35,6 +35,8 @@
     pub ready: SocketAddr,
     /// Address for reports (UDP), calls between routers and metrics (TCP).
     pub peer: SocketAddr,
+    /// Part of a processor core that the process may use.
+    pub processor_share: f64,
     /// Memory of the process, in bytes.
     pub memory_bytes: usize,
     /// Descriptors of the process.
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    MoveVerdict, OwedLevel, PeerReport, PeerTable, RepeatBudget, SlidingCount, TeamUse, TrialCount,
-    TrialStage, VersionTrial,
+    CallPace, MoveVerdict, OwedLevel, PeerReport, PeerTable, PressureLook, PressureRule,
+    RepeatBudget, SlidingCount, TeamUse, TrialCount, TrialStage, VersionTrial,
 };
 use godwitcrank::ids::NodeId;
 use godwitcrank::routing::MoveOrder;
@@ -229,3 +229,73 @@
     trial.adopt(TrialStage::Done);
     assert_that!(trial.stage(), eq(TrialStage::TakenBack));
 }
+
+/// Guards against a burst that makes every call at a small router late.
+#[gtest]
+fn try_take_burst_within_rate() {
+    let start = Instant::now();
+    let mut pace = CallPace::new(0.1, start);
+    let taken =
+        (0..2_000).filter(|number| pace.try_take(start + Duration::from_millis(*number))).count();
+    // A tenth of a core bears 250 calls a second; the burst adds a quarter of a second's worth.
+    assert_that!(taken, all!(ge(500), le(565)));
+}
+
+fn look(lateness: u64, calls: u64) -> PressureLook {
+    PressureLook {
+        lateness: Duration::from_millis(lateness),
+        connections_used: 0.1,
+        calls,
+        interval: Duration::from_millis(100),
+    }
+}
+
+/// Feeds the same look ten times a second until the rule changes its mind, for at most a minute.
+fn changes_at(rule: &mut PressureRule, look: PressureLook, from: Instant) -> Option<Instant> {
+    (1..600)
+        .map(|number| from + Duration::from_millis(100) * number)
+        .find(|now| rule.look(look, *now).is_some())
+}
+
+/// Guards against a router that sends callers away because many calls are refused cheaply.
+#[gtest]
+fn look_many_calls_in_time_keeps_callers() {
+    let start = Instant::now();
+    let mut rule = PressureRule::new(0.1, start);
+    expect_that!(changes_at(&mut rule, look(1, 100), start), none());
+}
+
+/// Guards against a router that sends callers away because of the pauses of a processor quota.
+#[gtest]
+fn look_few_calls_quota_pauses_keeps_callers() {
+    let start = Instant::now();
+    let mut rule = PressureRule::new(0.1, start);
+    expect_that!(changes_at(&mut rule, look(60, 10), start), none());
+}
+
+/// Guards against a router that lets calls pile up for seconds before it sends callers away.
+#[gtest]
+fn look_many_calls_late_sends_away_soon() {
+    let start = Instant::now();
+    let mut rule = PressureRule::new(0.1, start);
+    let pressed = changes_at(&mut rule, look(50, 60), start);
+    assert_that!(pressed, some(le(start + Duration::from_secs(1))));
+}
+
+/// Guards against a router that takes its callers back every few seconds only to be overloaded
+/// again.
+#[gtest]
+fn look_relapse_doubles_relief() {
+    let start = Instant::now();
+    let mut rule = PressureRule::new(0.1, start);
+    let mut now = start;
+    let mut reliefs = Vec::new();
+    for _ in 0..3 {
+        let pressed = changes_at(&mut rule, look(50, 60), now).unwrap_or(now);
+        now = changes_at(&mut rule, look(0, 0), pressed).unwrap_or(pressed);
+        reliefs.push(now.duration_since(pressed));
+    }
+    expect_that!(reliefs[0], ge(Duration::from_secs(2)));
+    expect_that!(reliefs[1], ge(Duration::from_secs(4)));
+    expect_that!(reliefs[2], ge(Duration::from_secs(8)));
+}
