Use a team's own rank and the home regions of routes and teams

Change: a lookup of a route gives the call's rank (the team's goes before the route's) and the regions that route and team both allow; the dispatcher uses upstreams of these regions only. Regions come from the zones in the settings.

--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{
-    CallFingerprint, CallId, GrantId, PromptPartId, ServiceId, TeamId, UpstreamId, VersionId,
+    CallFingerprint, CallId, GrantId, PromptPartId, RegionId, ServiceId, TeamId, UpstreamId,
+    VersionId,
 };
 use crate::routing::CallKind;
 
@@ -69,6 +70,8 @@
     pub kind: CallKind,
     /// Rank; 0 is the highest.
     pub priority: u32,
+    /// Regions whose upstreams may run it; `None` when all may.
+    pub homes: Option<Vec<RegionId>>,
     /// Size, for model calls.
     pub prompt: Option<PromptShape>,
     /// Time within which its first event or its answer is due.
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -20,7 +20,7 @@
 use super::waiting::{ChangedUpstreams, WaitingCall, give_up_at, retry_after};
 use super::window::RepeatBudget;
 use crate::ids::{
-    CallFingerprint, CallId, DataCentreId, GrantId, NodeId, ServiceId, TeamId, UpstreamId,
+    CallFingerprint, CallId, DataCentreId, GrantId, NodeId, RegionId, ServiceId, TeamId, UpstreamId,
 };
 use crate::routing::ServiceEntry;
 
@@ -50,6 +50,7 @@
 pub struct DirectDispatcher {
     node: NodeId,
     data_centre: DataCentreId,
+    regions: IndexMap<DataCentreId, RegionId>,
     pub(super) bounds: FleetBounds,
     pub(super) services: IndexMap<ServiceId, ServiceState>,
     pub(super) upstreams: IndexMap<UpstreamId, UpstreamLoad>,
@@ -70,10 +71,16 @@
 
 impl DirectDispatcher {
     /// Creates a dispatcher that knows of no services and upstreams.
-    pub fn new(node: NodeId, data_centre: DataCentreId, bounds: FleetBounds) -> Self {
+    pub fn new(
+        node: NodeId,
+        data_centre: DataCentreId,
+        regions: IndexMap<DataCentreId, RegionId>,
+        bounds: FleetBounds,
+    ) -> Self {
         Self {
             node,
             data_centre,
+            regions,
             bounds,
             services: IndexMap::new(),
             upstreams: IndexMap::new(),
@@ -306,6 +313,7 @@
                 load.entry.service == call.service
                     && !load.entry.leaving
                     && !self.taken_out.contains(&load.entry.data_centre)
+                    && self.is_home(call, &load.entry.data_centre)
             })
             .map(|(index, _)| index)
             .collect();
@@ -322,6 +330,13 @@
         if untried.is_empty() && call.charge != BudgetCharge::Repeat { candidates } else { untried }
     }
 
+    /// Returns whether upstreams of a data centre may run the call. One whose region is not known
+    /// runs only calls that any region may run.
+    fn is_home(&self, call: &ArrivingCall, data_centre: &DataCentreId) -> bool {
+        let Some(homes) = &call.homes else { return true };
+        self.regions.get(data_centre).is_some_and(|region| homes.contains(region))
+    }
+
     /// Keeps the upstreams of the version that a move gives the call to.
     fn filter_version(&mut self, call: &ArrivingCall, candidates: Vec<usize>) -> Vec<usize> {
         let Some(trial) = self.trials.get_mut(&call.service) else {
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -17,7 +17,7 @@
 use super::caller::DrainStage;
 use super::edge::{CallDialect, CallHead, GatewayEdge, GatewayRefusal};
 use crate::decision::direct::RefusalCause;
-use crate::ids::{CallFingerprint, TeamId};
+use crate::ids::{CallFingerprint, RegionId, TeamId};
 use crate::routing::{CallKind, RouteEntry, RouteMatch, RouteTable, draw_target};
 
 /// When callers should come back to a router that has no configuration yet.
@@ -50,7 +50,7 @@
         context.edge.dialect().read_head(&head).map_err(|error| {
             log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem })
         })?;
-    let (route, team) = find_route(&table, &head, &facts)?;
+    let CallRights { route, team, priority, homes } = find_route(&table, &head, &facts)?;
     let service = draw_target(&route, &facts.attempt)
         .ok_or(GatewayRefusal::UnknownRoute { version: table.version() })?;
     let fingerprint = fingerprint(&head, &facts, &body);
@@ -62,6 +62,8 @@
         route,
         service,
         team,
+        priority,
+        homes,
         body,
         space: Some(space),
         fingerprint,
@@ -69,11 +71,19 @@
     })
 }
 
+/// What the configuration allows a call.
+struct CallRights {
+    route: Arc<RouteEntry>,
+    team: Option<TeamId>,
+    priority: u32,
+    homes: Option<Vec<RegionId>>,
+}
+
 fn find_route(
     table: &RouteTable,
     head: &request::Parts,
     facts: &CallHead,
-) -> Result<(Arc<RouteEntry>, Option<TeamId>), GatewayRefusal> {
+) -> Result<CallRights, GatewayRefusal> {
     let host = head
         .uri
         .host()
@@ -81,7 +91,9 @@
         .unwrap_or_default();
     let version = table.version();
     match table.find(host, head.uri.path(), facts.key.as_deref()) {
-        RouteMatch::Allowed { route, team } => Ok((route, team)),
+        RouteMatch::Allowed { route, team, priority, homes } => {
+            Ok(CallRights { route, team, priority, homes })
+        }
         RouteMatch::Unknown => Err(log_refusal(head, GatewayRefusal::UnknownRoute { version })),
         RouteMatch::Denied { .. } => Err(log_refusal(head, GatewayRefusal::UnknownKey { version })),
     }
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -21,7 +21,7 @@
 use crate::decision::direct::{
     ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, RefusalCause,
 };
-use crate::ids::{CallFingerprint, CallId, ServiceId, TeamId, UpstreamId};
+use crate::ids::{CallFingerprint, CallId, RegionId, ServiceId, TeamId, UpstreamId};
 use crate::lifecycle::call::{RunCall, SentCall, UnsentCall};
 use crate::routing::{CallKind, RouteEntry};
 
@@ -63,6 +63,10 @@
     pub service: ServiceId,
     /// Team that pays.
     pub team: Option<TeamId>,
+    /// Rank; 0 is the highest.
+    pub priority: u32,
+    /// Regions whose upstreams may run it; `None` when all may.
+    pub homes: Option<Vec<RegionId>>,
     /// Whole body.
     pub body: Bytes,
     /// Memory that the body takes.
@@ -205,7 +209,8 @@
             service: Arc::clone(&subject.service),
             team: subject.team.clone(),
             kind: subject.route.kind,
-            priority: subject.route.priority,
+            priority: subject.priority,
+            homes: subject.homes.clone(),
             prompt: subject.facts.prompt.clone(),
             objective: subject.route.objective,
             arrived: subject.arrived,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -105,6 +105,7 @@
         let dispatcher = DirectDispatcher::new(
             Arc::clone(&settings.node),
             Arc::clone(&settings.data_centre),
+            settings.regions.clone(),
             settings.bounds,
         );
         Self {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::decision::direct::FleetBounds;
-use crate::ids::{DataCentreId, NodeId};
+use crate::ids::{DataCentreId, NodeId, RegionId};
 
 /// Memory that the process takes without calls, in bytes.
 const BASE_MEMORY: usize = 22 << 20;
@@ -29,6 +31,8 @@
     pub node: NodeId,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Region of each data centre.
+    pub regions: IndexMap<DataCentreId, RegionId>,
     /// Address for callers.
     pub caller: SocketAddr,
     /// Address that the balancer asks whether the router is ready.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -17,6 +17,9 @@
 /// Identifies a data centre.
 pub type DataCentreId = Arc<str>;
 
+/// Identifies a region, which holds data centres.
+pub type RegionId = Arc<str>;
+
 /// Identifies a process of the system, unique in the fleet.
 pub type NodeId = Arc<str>;
 
--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ConfigurationVersion, DataCentreId, RouteId, ServiceId, TeamId, VersionId};
+use crate::ids::{
+    ConfigurationVersion, DataCentreId, RegionId, RouteId, ServiceId, TeamId, VersionId,
+};
 
 /// How often a call may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
@@ -55,6 +57,9 @@
     pub anonymous: bool,
     /// Whether a broken stream may go on at another upstream.
     pub resumable: bool,
+    /// Regions whose upstreams may run its calls; empty when all may.
+    #[serde(default)]
+    pub homes: Vec<RegionId>,
 }
 
 impl RouteEntry {
@@ -92,6 +97,9 @@
     pub keys: Vec<String>,
     /// Rank that replaces the route's, when the team has one.
     pub priority: Option<u32>,
+    /// Regions whose upstreams may run its calls; empty when all may.
+    #[serde(default)]
+    pub homes: Vec<RegionId>,
 }
 
 /// What callers may send, and how long they may take.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::entry::{CallerLimits, RouteEntry, RouteSheet};
-use crate::ids::{ConfigurationVersion, ServiceId, TeamId};
+use super::entry::{CallerLimits, RouteEntry, RouteSheet, TeamEntry};
+use crate::ids::{ConfigurationVersion, RegionId, ServiceId, TeamId};
 
 /// Key by which a caller shows its team.
 pub type TeamKey = str;
@@ -22,6 +22,10 @@
         route: Arc<RouteEntry>,
         /// Team of the caller; `None` on anonymous routes and where no teams are configured.
         team: Option<TeamId>,
+        /// Rank of the call.
+        priority: u32,
+        /// Regions whose upstreams may run the call; `None` when all may.
+        homes: Option<Vec<RegionId>>,
     },
     /// The route needs a key that no team holds.
     Denied {
@@ -36,7 +40,7 @@
     version: ConfigurationVersion,
     limits: CallerLimits,
     hosts: IndexMap<String, IndexMap<String, Arc<RouteEntry>>>,
-    keys: IndexMap<String, TeamId>,
+    keys: IndexMap<String, Arc<TeamEntry>>,
     has_teams: bool,
 }
 
@@ -51,8 +55,9 @@
         }
         let mut keys = IndexMap::new();
         for team in &sheet.teams {
+            let shared = Arc::new(team.clone());
             for key in &team.keys {
-                keys.insert(key.clone(), Arc::clone(&team.name));
+                keys.insert(key.clone(), Arc::clone(&shared));
             }
         }
         let has_teams = !sheet.teams.is_empty();
@@ -76,11 +81,16 @@
         let Some(route) = self.find_route(host, path) else {
             return RouteMatch::Unknown;
         };
-        let team = key.and_then(|key| self.keys.get(key)).cloned();
-        if !self.has_teams || route.anonymous || team.is_some() {
-            return RouteMatch::Allowed { route, team };
+        let team = key.and_then(|key| self.keys.get(key));
+        if self.has_teams && !route.anonymous && team.is_none() {
+            return RouteMatch::Denied { route };
+        }
+        RouteMatch::Allowed {
+            team: team.map(|team| Arc::clone(&team.name)),
+            priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
+            homes: common_homes(&route.homes, team.map_or(&[], |team| &team.homes)),
+            route,
         }
-        RouteMatch::Denied { route }
     }
 
     /// Tries the path's beginnings that end with a slash, longest first.
@@ -100,6 +110,15 @@
     }
 }
 
+/// Regions that both lists allow; an empty list allows all.
+fn common_homes(route: &[RegionId], team: &[RegionId]) -> Option<Vec<RegionId>> {
+    match (route, team) {
+        ([], []) => None,
+        (homes, []) | ([], homes) => Some(homes.to_vec()),
+        (route, team) => Some(route.iter().filter(|home| team.contains(home)).cloned().collect()),
+    }
+}
+
 /// Draws the service of a call by the targets' weights; the same call always gets the same one.
 pub fn draw_target(route: &RouteEntry, attempt: &str) -> Option<ServiceId> {
     let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -7,11 +7,12 @@
     ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, DirectDispatcher, FleetBounds,
     PeerLoad, PeerReport, PromptPart, PromptShape, RefusalCause,
 };
-use godwitcrank::ids::{CallId, UpstreamId};
+use godwitcrank::ids::{CallId, DataCentreId, RegionId, UpstreamId};
 use godwitcrank::routing::{
     CallKind, CallerLimits, RouteSheet, ServiceEntry, UpstreamEntry, ViewChange,
 };
 use googletest::prelude::*;
+use indexmap::IndexMap;
 
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
@@ -28,6 +29,11 @@
     }
 }
 
+/// The data centre of all upstreams of these tests is in `cymru`.
+fn regions() -> IndexMap<DataCentreId, RegionId> {
+    [("caerdydd".into(), "cymru".into()), ("bkk-a".into(), "bkk".into())].into()
+}
+
 fn sheet(work_rate: Option<f64>) -> ViewChange {
     let service = |name: &str, memory_tokens| ServiceEntry {
         name: name.into(),
@@ -66,7 +72,8 @@
 
 /// A dispatcher with two other routers and the given upstreams of the service `model`.
 fn fleet(upstreams: &[&str], now: Instant) -> DirectDispatcher {
-    let mut dispatcher = DirectDispatcher::new("router-1".into(), "caerdydd".into(), bounds());
+    let mut dispatcher =
+        DirectDispatcher::new("router-1".into(), "caerdydd".into(), regions(), bounds());
     dispatcher.apply(&sheet(None), now);
     for id in upstreams {
         dispatcher.apply(&ViewChange::Upstream((*id).into(), entry("model", 128)), now);
@@ -93,6 +100,7 @@
         team: Some(team.into()),
         kind: CallKind::Stream,
         priority: 1,
+        homes: None,
         prompt: Some(prompt),
         objective: OBJECTIVE,
         arrived: now,
@@ -182,7 +190,8 @@
     for part in 0..20 {
         let mut chosen = Vec::new();
         for node in ["router-1", "router-2"] {
-            let mut dispatcher = DirectDispatcher::new(node.into(), "caerdydd".into(), bounds());
+            let mut dispatcher =
+                DirectDispatcher::new(node.into(), "caerdydd".into(), regions(), bounds());
             dispatcher.apply(&sheet(None), now);
             for id in ["a", "b", "c", "d", "e"] {
                 dispatcher.apply(&ViewChange::Upstream(id.into(), entry("model", 128)), now);
@@ -536,3 +545,20 @@
     expect_that!(dispatcher.upstreams()["a"].own, eq(PeerLoad::default()));
     expect_that!(fill(&mut dispatcher, "team", now).len(), eq(count));
 }
+
+/// Guards against a call that runs outside the regions that its route and its team allow.
+#[gtest]
+fn dispatch_homes_elsewhere_refuses() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let homed = |id, homes: &[&str]| ArrivingCall {
+        homes: Some(homes.iter().map(|home| (*home).into()).collect()),
+        ..call(id, "team", prompt(id, 0, 100), now)
+    };
+    expect_that!(send(&mut dispatcher, homed(1, &["cymru", "bkk"]), now), some(anything()));
+    for (id, homes) in [(2, &["bkk"][..]), (3, &[][..])] {
+        dispatcher.arrive(homed(id, homes));
+        let verdicts = dispatcher.dispatch(now + OBJECTIVE);
+        expect_that!(refused(&verdicts), elements_are![eq(&(id, RefusalCause::NoUpstream))]);
+    }
+}
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -23,9 +23,14 @@
         targets: vec![RouteTarget { service: "model".into(), weight: 1 }],
         anonymous: false,
         resumable: false,
+        homes: Vec::new(),
     }
 }
 
+fn team(name: &str, key: &str) -> TeamEntry {
+    TeamEntry { name: name.into(), keys: vec![key.into()], priority: None, homes: Vec::new() }
+}
+
 fn sheet(version: u64) -> RouteSheet {
     let open = RouteEntry { anonymous: true, ..route("open", "/open/", CallKind::Repeatable) };
     RouteSheet {
@@ -36,7 +41,7 @@
             open,
         ],
         services: Vec::new(),
-        teams: vec![TeamEntry { name: "clocks".into(), keys: vec!["k1".into()], priority: None }],
+        teams: vec![team("clocks", "k1")],
         limits: CallerLimits {
             head_bytes: 16_384,
             body_bytes: 1 << 20,
@@ -97,6 +102,39 @@
     expect_that!(route_name(&table.find("other.example", "/a/", Some("k1"))), none());
 }
 
+/// Guards against a team whose own rank is ignored.
+#[gtest]
+fn find_team_rank_goes_first() {
+    let ranked = TeamEntry { priority: Some(0), ..team("urgent", "k2") };
+    let sheet = RouteSheet { teams: vec![team("clocks", "k1"), ranked], ..sheet(1) };
+    let table = RouteTable::from(&sheet);
+    for (key, rank) in [("k1", 1), ("k2", 0)] {
+        let found = table.find("bench.example", "/a/", Some(key));
+        let RouteMatch::Allowed { priority, .. } = found else { panic!("{key} was refused") };
+        expect_that!(priority, eq(rank), "key {key}");
+    }
+}
+
+/// Guards against a call that may run where only its route or only its team allows it.
+#[gtest]
+fn find_homes_both_bind() {
+    let regions = |names: &[&str]| names.iter().map(|name| (*name).into()).collect::<Vec<_>>();
+    for (of_route, of_team, common) in [
+        (&[][..], &[][..], None),
+        (&["cymru"][..], &[][..], Some(&["cymru"][..])),
+        (&[][..], &["bkk"][..], Some(&["bkk"][..])),
+        (&["cymru", "bkk"][..], &["bkk"][..], Some(&["bkk"][..])),
+        (&["cymru"][..], &["bkk"][..], Some(&[][..])),
+    ] {
+        let homed = RouteEntry { homes: regions(of_route), ..route("a", "/a/", CallKind::Stream) };
+        let team = TeamEntry { homes: regions(of_team), ..team("clocks", "k1") };
+        let sheet = RouteSheet { routes: vec![homed], teams: vec![team], ..sheet(1) };
+        let found = RouteTable::from(&sheet).find("bench.example", "/a/", Some("k1"));
+        let RouteMatch::Allowed { homes, .. } = found else { panic!("the call was refused") };
+        expect_that!(homes, eq(&common.map(regions)), "{of_route:?} and {of_team:?}");
+    }
+}
+
 /// Guards against unknown keys that pass, and against keys asked on anonymous routes.
 #[gtest]
 fn find_key_decides_team() {
