--- a/src/decision/direct/room.rs
+++ b/src/decision/direct/room.rs
@@ -19,8 +19,8 @@
 
 /// The least of both parts, for a team whose use is far beyond what it is owed. What lies between
 /// is kept free for teams that have had less.
-const LEAST_START_PART: f64 = 0.2;
-const LEAST_SPILL_START_PART: f64 = 0.06;
+const LEAST_START_PART: f64 = 0.27;
+const LEAST_SPILL_START_PART: f64 = 0.05;
 
 /// Part of the deadline that a call larger than the objective allows may take on an idle engine.
 const LARGE_CALL_PART: f64 = 0.4;
