--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -5,9 +5,7 @@
 
 use crate::ids::{
     CallFingerprint, CallId, GrantId, PromptPartId, RegionId, ServiceId, TeamId, UpstreamId,
-    VersionId,
 };
-use crate::routing::CallKind;
 
 /// A part of a prompt and its length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,8 +64,6 @@
     pub service: ServiceId,
     /// Team that pays for it.
     pub team: Option<TeamId>,
-    /// How often it may run.
-    pub kind: CallKind,
     /// Rank; 0 is the highest.
     pub priority: u32,
     /// Regions whose upstreams may run it; `None` when all may.
@@ -104,8 +100,6 @@
     pub upstream: UpstreamId,
     /// Its address.
     pub address: SocketAddr,
-    /// Version of its software.
-    pub version: VersionId,
     /// Expected time to the first event.
     pub expected_wait: Duration,
 }
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -1,4 +1,4 @@
-//! Chooses the next waiting call and its upstream.
+//! Decides about the waiting calls and follows those that were sent.
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -7,16 +7,12 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::call::{ArrivingCall, BudgetCharge, CallGrant, CallOutcome, CallVerdict, RefusalCause};
-use super::candidates::CandidateSet;
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
-use super::room::{
-    CallNeed, FleetBounds, cold_share, connection_share, expected_missing, has_room, send_cost,
-    start_parts,
-};
+use super::room::FleetBounds;
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_use::{OwedLevel, TeamUse};
-use super::version_trial::{TrialStage, VersionTrial};
+use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, give_up_at, retry_after};
 use super::window::RepeatBudget;
 use crate::ids::{
@@ -48,9 +44,9 @@
 /// State of the direct path's decisions at one router.
 #[derive(Debug)]
 pub struct DirectDispatcher {
-    node: NodeId,
-    data_centre: DataCentreId,
-    regions: IndexMap<DataCentreId, RegionId>,
+    pub(super) node: NodeId,
+    pub(super) data_centre: DataCentreId,
+    pub(super) regions: IndexMap<DataCentreId, RegionId>,
     pub(super) bounds: FleetBounds,
     pub(super) services: IndexMap<ServiceId, ServiceState>,
     pub(super) upstreams: IndexMap<UpstreamId, UpstreamLoad>,
@@ -62,9 +58,9 @@
     next_grant: GrantId,
     teams: TeamUse,
     pub(super) work_rate: Option<f64>,
-    owed_level: OwedLevel,
+    pub(super) owed_level: OwedLevel,
     peer_use: IndexMap<TeamId, f64>,
-    peers: PeerTable,
+    pub(super) peers: PeerTable,
     suspects: SuspectList,
     pub(super) regained: Option<Instant>,
 }
@@ -241,7 +237,7 @@
     }
 
     /// Recent use of a team at all routers; calls without a team go first.
-    fn fleet_use(&self, team: Option<&str>, now: Instant) -> f64 {
+    pub(super) fn fleet_use(&self, team: Option<&str>, now: Instant) -> f64 {
         team.map_or(0.0, |team| {
             self.teams.of(team, now) + self.peer_use.get(team).copied().unwrap_or_default()
         })
@@ -303,103 +299,6 @@
         true
     }
 
-    /// Upstreams that may run the call at all, whatever their load.
-    fn usable_upstreams(&mut self, call: &ArrivingCall, now: Instant) -> Vec<usize> {
-        let candidates: Vec<usize> = self
-            .upstreams
-            .values()
-            .enumerate()
-            .filter(|(_, load)| {
-                load.entry.service == call.service
-                    && !load.entry.leaving
-                    && !self.taken_out.contains(&load.entry.data_centre)
-                    && self.is_home(call, &load.entry.data_centre)
-            })
-            .map(|(index, _)| index)
-            .collect();
-        let candidates = self.filter_version(call, candidates);
-        let untried: Vec<usize> = candidates
-            .iter()
-            .copied()
-            .filter(|index| {
-                self.upstreams
-                    .get_index(*index)
-                    .is_some_and(|(id, load)| !call.tried.contains(id) && !load.is_resting(now))
-            })
-            .collect();
-        if untried.is_empty() && call.charge != BudgetCharge::Repeat { candidates } else { untried }
-    }
-
-    /// Returns whether upstreams of a data centre may run the call. One whose region is not known
-    /// runs only calls that any region may run.
-    fn is_home(&self, call: &ArrivingCall, data_centre: &DataCentreId) -> bool {
-        let Some(homes) = &call.homes else { return true };
-        self.regions.get(data_centre).is_some_and(|region| homes.contains(region))
-    }
-
-    /// Keeps the upstreams of the version that a move gives the call to.
-    fn filter_version(&mut self, call: &ArrivingCall, candidates: Vec<usize>) -> Vec<usize> {
-        let Some(trial) = self.trials.get_mut(&call.service) else {
-            return candidates;
-        };
-        let target = Arc::clone(&trial.order().target);
-        let (of_target, others): (Vec<usize>, Vec<usize>) = candidates
-            .into_iter()
-            .partition(|index| self.upstreams[*index].entry.version == target);
-        if of_target.is_empty() {
-            return others;
-        }
-        if others.is_empty() && trial.stage() == TrialStage::Trial {
-            return of_target;
-        }
-        if trial.next_is_target() { of_target } else { others }
-    }
-
-    /// The upstream with the lowest cost among those that have room, and the prompt tokens that it
-    /// has to read.
-    fn choose(
-        &mut self,
-        call: &ArrivingCall,
-        usable: &[usize],
-        only: Option<&ChangedUpstreams>,
-        now: Instant,
-    ) -> Option<(UpstreamId, u64)> {
-        let service = &self.services.get(&call.service)?.entry;
-        let routers = self.peers.routers(now);
-        let connections = connection_share(service, routers);
-        let team_use = self.fleet_use(call.team.as_deref(), now);
-        let parts = start_parts(team_use, self.owed_level);
-        let candidates = CandidateSet::of_call(call, &self.upstreams, usable);
-        let mut best: Option<(f64, usize, u64)> = None;
-        for index in candidates.indices() {
-            let (id, load) = self.upstreams.get_index_mut(index)?;
-            if only.is_some_and(|only| !only.contains(id)) {
-                continue;
-            }
-            let share = cold_share(service, self.bounds, routers, id, &self.node);
-            if load.own.running >= connections
-                || !load.cold.allows(share, now)
-                || (load.is_unproved() && load.own.running > 0)
-            {
-                continue;
-            }
-            let rank = candidates.rank(index);
-            let missing =
-                call.prompt.as_ref().map_or(0, |prompt| expected_missing(load, prompt, rank));
-            let need = CallNeed { missing, rank, parts };
-            if !has_room(load, call, service, need, routers, now) {
-                continue;
-            }
-            let cost = send_cost(load, missing, &self.data_centre);
-            if best.is_none_or(|(lowest, _, _)| cost < lowest) {
-                best = Some((cost, index, missing));
-            }
-        }
-        let (_, index, missing) = best?;
-        let (id, _) = self.upstreams.get_index(index)?;
-        Some((Arc::clone(id), missing))
-    }
-
     fn grant(
         &mut self,
         call: &ArrivingCall,
@@ -432,7 +331,6 @@
             id,
             upstream: Arc::clone(upstream),
             address: load.entry.address,
-            version: Arc::clone(&load.entry.version),
             expected_wait,
         };
         if let Some(team) = &call.team {
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod pressure;
 mod room;
+mod selection;
 mod suspects;
 mod team_use;
 mod version_trial;
--- /dev/null
+++ b/src/decision/direct/selection.rs
@@ -0,0 +1,113 @@
+//! Chooses the upstream of a call.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::call::{ArrivingCall, BudgetCharge};
+use super::candidates::CandidateSet;
+use super::dispatcher::DirectDispatcher;
+use super::room::{
+    CallNeed, cold_share, connection_share, expected_missing, has_room, send_cost, start_parts,
+};
+use super::version_trial::TrialStage;
+use super::waiting::ChangedUpstreams;
+use crate::ids::{DataCentreId, UpstreamId};
+
+impl DirectDispatcher {
+    /// Upstreams that may run the call at all, whatever their load.
+    pub(super) fn usable_upstreams(&mut self, call: &ArrivingCall, now: Instant) -> Vec<usize> {
+        let candidates: Vec<usize> = self
+            .upstreams
+            .values()
+            .enumerate()
+            .filter(|(_, load)| {
+                load.entry.service == call.service
+                    && !load.entry.leaving
+                    && !self.taken_out.contains(&load.entry.data_centre)
+                    && self.is_home(call, &load.entry.data_centre)
+            })
+            .map(|(index, _)| index)
+            .collect();
+        let candidates = self.filter_version(call, candidates);
+        let untried: Vec<usize> = candidates
+            .iter()
+            .copied()
+            .filter(|index| {
+                self.upstreams
+                    .get_index(*index)
+                    .is_some_and(|(id, load)| !call.tried.contains(id) && !load.is_resting(now))
+            })
+            .collect();
+        if untried.is_empty() && call.charge != BudgetCharge::Repeat { candidates } else { untried }
+    }
+
+    /// Returns whether upstreams of a data centre may run the call. One whose region is not known
+    /// runs only calls that any region may run.
+    fn is_home(&self, call: &ArrivingCall, data_centre: &DataCentreId) -> bool {
+        let Some(homes) = &call.homes else { return true };
+        self.regions.get(data_centre).is_some_and(|region| homes.contains(region))
+    }
+
+    /// Keeps the upstreams of the version that a move gives the call to.
+    fn filter_version(&mut self, call: &ArrivingCall, candidates: Vec<usize>) -> Vec<usize> {
+        let Some(trial) = self.trials.get_mut(&call.service) else {
+            return candidates;
+        };
+        let target = Arc::clone(&trial.order().target);
+        let (of_target, others): (Vec<usize>, Vec<usize>) = candidates
+            .into_iter()
+            .partition(|index| self.upstreams[*index].entry.version == target);
+        if of_target.is_empty() {
+            return others;
+        }
+        if others.is_empty() && trial.stage() == TrialStage::Trial {
+            return of_target;
+        }
+        if trial.next_is_target() { of_target } else { others }
+    }
+
+    /// The upstream with the lowest cost among those that have room, and the prompt tokens that it
+    /// has to read.
+    pub(super) fn choose(
+        &mut self,
+        call: &ArrivingCall,
+        usable: &[usize],
+        only: Option<&ChangedUpstreams>,
+        now: Instant,
+    ) -> Option<(UpstreamId, u64)> {
+        let service = &self.services.get(&call.service)?.entry;
+        let routers = self.peers.routers(now);
+        let connections = connection_share(service, routers);
+        let team_use = self.fleet_use(call.team.as_deref(), now);
+        let parts = start_parts(team_use, self.owed_level);
+        let candidates = CandidateSet::of_call(call, &self.upstreams, usable);
+        let mut best: Option<(f64, usize, u64)> = None;
+        for index in candidates.indices() {
+            let (id, load) = self.upstreams.get_index_mut(index)?;
+            if only.is_some_and(|only| !only.contains(id)) {
+                continue;
+            }
+            let share = cold_share(service, self.bounds, routers, id, &self.node);
+            if load.own.running >= connections
+                || !load.cold.allows(share, now)
+                || (load.is_unproved() && load.own.running > 0)
+            {
+                continue;
+            }
+            let rank = candidates.rank(index);
+            let missing =
+                call.prompt.as_ref().map_or(0, |prompt| expected_missing(load, prompt, rank));
+            let need = CallNeed { missing, rank, parts };
+            if !has_room(load, call, service, need, routers, now) {
+                continue;
+            }
+            let cost = send_cost(load, missing, &self.data_centre);
+            if best.is_none_or(|(lowest, _, _)| cost < lowest) {
+                best = Some((cost, index, missing));
+            }
+        }
+        let (_, index, missing) = best?;
+        let (id, _) = self.upstreams.get_index(index)?;
+        Some((Arc::clone(id), missing))
+    }
+}
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -208,7 +208,6 @@
             id: subject.id,
             service: Arc::clone(&subject.service),
             team: subject.team.clone(),
-            kind: subject.route.kind,
             priority: subject.priority,
             homes: subject.homes.clone(),
             prompt: subject.facts.prompt.clone(),
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -8,9 +8,7 @@
     PeerLoad, PeerReport, PromptPart, PromptShape, RefusalCause,
 };
 use godwitcrank::ids::{CallId, DataCentreId, RegionId, UpstreamId};
-use godwitcrank::routing::{
-    CallKind, CallerLimits, RouteSheet, ServiceEntry, UpstreamEntry, ViewChange,
-};
+use godwitcrank::routing::{CallerLimits, RouteSheet, ServiceEntry, UpstreamEntry, ViewChange};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
@@ -98,7 +96,6 @@
         id,
         service: "model".into(),
         team: Some(team.into()),
-        kind: CallKind::Stream,
         priority: 1,
         homes: None,
         prompt: Some(prompt),
@@ -254,7 +251,6 @@
 fn fill_plain(dispatcher: &mut DirectDispatcher, now: Instant) -> usize {
     let plain = |id| ArrivingCall {
         service: "booking".into(),
-        kind: CallKind::AtMostOnce,
         prompt: None,
         ..call(id, "team", PromptShape::default(), now)
     };
