Keep the candidates of waiting calls until they change

Cause: every event of the control thread made it look at all waiting calls, and each look compared all upstreams of the service anew.

Change: a waiting call keeps its few candidates until the fleet changes or an upstream rests, and is looked at when one of them may have room or its time is over.

Tests: direct_dispatch::dispatch_waiting_call_takes_new_upstream, dispatch_waiting_call_takes_freed_room.

--- a/src/decision/direct/candidates.rs
+++ b/src/decision/direct/candidates.rs
@@ -17,7 +17,8 @@
 /// Upstreams that are drawn for one call.
 const DRAWN_UPSTREAMS: usize = 2;
 
-/// Upstreams that a call may be sent to, by their index.
+/// Upstreams that a call may be sent to, by their index; valid until the fleet changes.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct CandidateSet {
     preferred: [Option<usize>; PREFERRED_UPSTREAMS],
     drawn: [Option<usize>; DRAWN_UPSTREAMS],
@@ -47,6 +48,11 @@
         self.preferred.iter().flatten().chain(drawn).copied()
     }
 
+    /// Returns whether there is no upstream at all.
+    pub(super) fn is_empty(&self) -> bool {
+        self.indices().next().is_none()
+    }
+
     /// Place of an upstream among the preferred ones.
     pub(super) fn rank(&self, index: usize) -> Option<usize> {
         self.preferred.iter().position(|preferred| *preferred == Some(index))
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -192,7 +192,7 @@
 
     /// Adds a call; [`Self::dispatch`] decides about it.
     pub fn arrive(&mut self, call: ArrivingCall) {
-        self.waiting.push(WaitingCall { call, seen_all: false });
+        self.waiting.push(WaitingCall { call, candidates: None });
     }
 
     /// Removes a waiting call whose caller left.
@@ -211,7 +211,14 @@
             return Vec::new();
         }
         let changed = std::mem::replace(&mut self.changed, ChangedUpstreams::Some(IndexSet::new()));
-        let mut calls: Vec<(f64, WaitingCall)> = std::mem::take(&mut self.waiting)
+        if matches!(changed, ChangedUpstreams::All) {
+            self.waiting.iter_mut().for_each(|waiting| waiting.candidates = None);
+        }
+        let (due, rest): (Vec<WaitingCall>, Vec<WaitingCall>) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|waiting| waiting.is_due(&changed, &self.upstreams, now));
+        self.waiting = rest;
+        let mut calls: Vec<(f64, WaitingCall)> = due
             .into_iter()
             .map(|waiting| (self.fleet_use(waiting.call.team.as_deref(), now), waiting))
             .collect();
@@ -224,13 +231,9 @@
         });
         let mut verdicts = Vec::new();
         for (_, mut waiting) in calls {
-            let only = waiting.seen_all.then_some(&changed);
-            match self.decide(&waiting.call, only, now) {
+            match self.decide(&mut waiting, now) {
                 Some(verdict) => verdicts.push((waiting.call.id, verdict)),
-                None => {
-                    waiting.seen_all = true;
-                    self.waiting.push(waiting);
-                }
+                None => self.waiting.push(waiting),
             }
         }
         verdicts
@@ -244,29 +247,24 @@
     }
 
     /// Returns a verdict, or `None` when the call goes on waiting.
-    fn decide(
-        &mut self,
-        call: &ArrivingCall,
-        only: Option<&ChangedUpstreams>,
-        now: Instant,
-    ) -> Option<CallVerdict> {
+    fn decide(&mut self, waiting: &mut WaitingCall, now: Instant) -> Option<CallVerdict> {
+        let call = &waiting.call;
         let refuse = |cause| Some(CallVerdict::Refuse { cause, retry_after: retry_after(call) });
-        let expired = now >= give_up_at(call);
-        if !expired && only.is_some_and(ChangedUpstreams::is_empty) {
-            return None;
-        }
         if self.crash_count(call.fingerprint) >= CRASH_LIMIT {
             return refuse(RefusalCause::Suspect);
         }
-        let usable = self.usable_upstreams(call, now);
-        let chosen = self.choose(call, &usable, only, now);
-        let Some((upstream, missing)) = chosen else {
-            if !expired {
+        let candidates = waiting.candidates.unwrap_or_else(|| self.candidates(call, now));
+        let Some((upstream, missing)) = self.choose(call, &candidates, now) else {
+            if now < give_up_at(call) {
+                waiting.candidates = Some(candidates);
                 return None;
             }
-            let cause =
-                if usable.is_empty() { RefusalCause::NoUpstream } else { RefusalCause::NoCapacity };
-            return refuse(cause);
+            let is_empty = candidates.is_empty();
+            return refuse(if is_empty {
+                RefusalCause::NoUpstream
+            } else {
+                RefusalCause::NoCapacity
+            });
         };
         if !self.charge_budget(call, now) {
             return refuse(RefusalCause::RepeatBudget);
@@ -409,6 +407,10 @@
             }
         }
         let down = load.record_outcome(outcome, now);
+        if load.is_resting(now) {
+            // Calls that wait for it need other candidates.
+            self.changed = ChangedUpstreams::All;
+        }
         if !down {
             return None;
         }
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -10,12 +10,17 @@
     CallNeed, cold_share, connection_share, expected_missing, has_room, send_cost, start_parts,
 };
 use super::version_trial::TrialStage;
-use super::waiting::ChangedUpstreams;
 use crate::ids::{DataCentreId, UpstreamId};
 
 impl DirectDispatcher {
+    /// Upstreams that are considered for a call.
+    pub(super) fn candidates(&mut self, call: &ArrivingCall, now: Instant) -> CandidateSet {
+        let usable = self.usable_upstreams(call, now);
+        CandidateSet::of_call(call, &self.upstreams, &usable)
+    }
+
     /// Upstreams that may run the call at all, whatever their load.
-    pub(super) fn usable_upstreams(&mut self, call: &ArrivingCall, now: Instant) -> Vec<usize> {
+    fn usable_upstreams(&mut self, call: &ArrivingCall, now: Instant) -> Vec<usize> {
         let candidates: Vec<usize> = self
             .upstreams
             .values()
@@ -71,8 +76,7 @@
     pub(super) fn choose(
         &mut self,
         call: &ArrivingCall,
-        usable: &[usize],
-        only: Option<&ChangedUpstreams>,
+        candidates: &CandidateSet,
         now: Instant,
     ) -> Option<(UpstreamId, u64)> {
         let service = &self.services.get(&call.service)?.entry;
@@ -80,13 +84,9 @@
         let connections = connection_share(service, routers);
         let team_use = self.fleet_use(call.team.as_deref(), now);
         let parts = start_parts(team_use, self.owed_level);
-        let candidates = CandidateSet::of_call(call, &self.upstreams, usable);
         let mut best: Option<(f64, usize, u64)> = None;
         for index in candidates.indices() {
             let (id, load) = self.upstreams.get_index_mut(index)?;
-            if only.is_some_and(|only| !only.contains(id)) {
-                continue;
-            }
             let share = cold_share(service, self.bounds, routers, id, &self.node);
             if load.own.running >= connections
                 || !load.cold.allows(share, now)
--- a/src/decision/direct/waiting.rs
+++ b/src/decision/direct/waiting.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::call::ArrivingCall;
+use super::candidates::CandidateSet;
+use super::load::UpstreamLoad;
 use crate::ids::UpstreamId;
 
 /// Part of a call's objective that it may wait at the router for an upstream.
@@ -18,8 +20,29 @@
 #[derive(Debug)]
 pub(super) struct WaitingCall {
     pub(super) call: ArrivingCall,
-    /// Whether all upstreams were looked at for it.
-    pub(super) seen_all: bool,
+    /// Upstreams that had no room for it; `None` before it was looked at.
+    pub(super) candidates: Option<CandidateSet>,
+}
+
+impl WaitingCall {
+    /// Returns whether the call must be looked at: for the first time, for the last time, or since
+    /// one of its candidates may have room now.
+    pub(super) fn is_due(
+        &self,
+        changed: &ChangedUpstreams,
+        upstreams: &IndexMap<UpstreamId, UpstreamLoad>,
+        now: Instant,
+    ) -> bool {
+        let Some(candidates) = &self.candidates else { return true };
+        let may_have_room = match changed {
+            ChangedUpstreams::All => true,
+            ChangedUpstreams::Some(changed) => candidates
+                .indices()
+                .filter_map(|index| upstreams.get_index(index))
+                .any(|(id, _)| changed.contains(id)),
+        };
+        may_have_room || now >= give_up_at(&self.call)
+    }
 }
 
 /// Upstreams whose room may have grown since the waiting calls were last looked at.
@@ -35,17 +58,6 @@
             changed.insert(Arc::clone(upstream));
         }
     }
-
-    pub(super) fn contains(&self, upstream: &UpstreamId) -> bool {
-        match self {
-            Self::All => true,
-            Self::Some(changed) => changed.contains(upstream),
-        }
-    }
-
-    pub(super) fn is_empty(&self) -> bool {
-        matches!(self, Self::Some(changed) if changed.is_empty())
-    }
 }
 
 /// When a waiting call is refused.
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -558,3 +558,34 @@
         expect_that!(refused(&verdicts), elements_are![eq(&(id, RefusalCause::NoUpstream))]);
     }
 }
+
+/// Guards against a waiting call that goes on looking at upstreams of an older fleet.
+#[gtest]
+fn dispatch_waiting_call_takes_new_upstream() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b"], now);
+    fill(&mut dispatcher, "flood", now);
+    dispatcher.arrive(call(1, "team", prompt(1, 0, 2_000), now));
+    assert_that!(dispatcher.dispatch(now), is_empty());
+    dispatcher.apply(&ViewChange::UpstreamGone("a".into()), now);
+    dispatcher.apply(&ViewChange::Upstream("c".into(), entry("model", 128)), now);
+    let sent = granted(&dispatcher.dispatch(now));
+    assert_that!(sent.len(), eq(1));
+    expect_that!(*sent[0].1.upstream, eq("c"));
+}
+
+/// Guards against a waiting call that is not looked at when its upstream has room again.
+#[gtest]
+fn dispatch_waiting_call_takes_freed_room() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a", "b"], now);
+    let grants = fill(&mut dispatcher, "flood", now);
+    dispatcher.arrive(call(1, "team", prompt(1, 0, 2_000), now));
+    assert_that!(dispatcher.dispatch(now), is_empty());
+    for grant in grants.iter().filter(|grant| *grant.upstream == *"b") {
+        dispatcher.ended(grant.id, CallOutcome::Completed, false, now);
+    }
+    let sent = granted(&dispatcher.dispatch(now));
+    assert_that!(sent.len(), eq(1));
+    expect_that!(*sent[0].1.upstream, eq("b"));
+}
