Log and count what became of each team's work at a router

Cause: the log did not tell for which team an overloaded router refused calls, nor the usage, level and fraction that decided about a team; under load it drops lines, so that lines of single calls cannot be summed. Change: the dispatcher counts the work of each team (sent, refused, shed); once a second the control thread adds it to the counter team_tokens and logs the teams that were turned away most, with usage, fair level and fraction. An overloaded router looks up the route before it refuses, so that it knows the team; the metadata of the call is in the log line. The state of the admission is one type.

--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -86,12 +86,17 @@
 }
 
 impl PendingCall {
-    /// Returns the work of the call in tokens; a call without a prompt counts as one.
+    /// Returns the work of the call in tokens.
     pub fn work(&self) -> f64 {
-        self.prompt.as_ref().map_or(1.0, PromptShape::work)
+        call_work(self.prompt.as_ref())
     }
 }
 
+/// Returns the work of a call in tokens; a call without a prompt counts as one.
+pub fn call_work(prompt: Option<&PromptShape>) -> f64 {
+    prompt.map_or(1.0, PromptShape::work)
+}
+
 /// Permission to send a call to an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallGrant {
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -11,6 +11,7 @@
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
 use super::suspects::{CRASH_LIMIT, SuspectList};
+use super::team_service::{ServiceCount, TeamService};
 use super::team_usage::{FairLevel, TeamUsage};
 use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, placement_deadline, retry_after};
@@ -57,6 +58,7 @@
     grants: IndexMap<GrantId, GrantedCall>,
     next_grant: GrantId,
     teams: TeamUsage,
+    service: TeamService,
     pub(super) work_rate: Option<f64>,
     pub(super) fair_level: FairLevel,
     peer_usage: IndexMap<TeamId, f64>,
@@ -86,6 +88,7 @@
             grants: IndexMap::new(),
             next_grant: 1,
             teams: TeamUsage::default(),
+            service: TeamService::default(),
             work_rate: None,
             fair_level: FairLevel::default(),
             peer_usage: IndexMap::new(),
@@ -232,15 +235,48 @@
         let mut decisions = Vec::new();
         for (_, mut waiting) in calls {
             match self.decide(&mut waiting, now) {
-                Some(decision) => decisions.push((waiting.call.id, decision)),
+                Some(decision) => {
+                    self.count_service(&waiting.call, &decision);
+                    decisions.push((waiting.call.id, decision));
+                }
                 None => self.waiting.push(waiting),
             }
         }
         decisions
     }
 
+    /// Counts the work of a call by the first decision about it.
+    fn count_service(&mut self, call: &PendingCall, decision: &CallDecision) {
+        let (Some(team), BudgetCharge::First) = (&call.team, call.charge) else { return };
+        let work = call.work();
+        let count = match decision {
+            CallDecision::Send(_) => ServiceCount { sent: work, ..ServiceCount::default() },
+            CallDecision::Refuse { .. } => {
+                ServiceCount { refused: work, ..ServiceCount::default() }
+            }
+        };
+        self.service.add(team, count);
+    }
+
+    /// Adds the work of calls that were refused before they reached the dispatcher.
+    pub fn record_shed(&mut self, shed: &IndexMap<TeamId, f64>) {
+        for (team, work) in shed {
+            self.service.add(team, ServiceCount { shed: *work, ..ServiceCount::default() });
+        }
+    }
+
+    /// Returns what became of the work that each team asked for since the last call.
+    pub fn take_service(&mut self) -> IndexMap<TeamId, ServiceCount> {
+        self.service.take()
+    }
+
+    /// Returns the max-min fair level of the teams' usage.
+    pub fn fair_level(&self) -> FairLevel {
+        self.fair_level
+    }
+
     /// Returns the recent usage of a team at all routers; 0 for calls without a team.
-    pub(super) fn fleet_usage(&self, team: Option<&str>, now: Instant) -> f64 {
+    pub fn fleet_usage(&self, team: Option<&str>, now: Instant) -> f64 {
         team.map_or(0.0, |team| {
             self.teams.usage_of(team, now) + self.peer_usage.get(team).copied().unwrap_or_default()
         })
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod selection;
 mod suspects;
+mod team_service;
 mod team_usage;
 mod version_trial;
 mod waiting;
@@ -20,7 +21,7 @@
 
 pub use call::{
     BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, PromptPart, PromptShape,
-    RefusalCause,
+    RefusalCause, call_work,
 };
 pub use capacity::FleetBounds;
 pub use dispatcher::{DirectDispatcher, trial_counts};
@@ -28,6 +29,7 @@
 pub use overload::{CallLimiter, LoadSample, OverloadDetector};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
 pub use suspects::SuspectList;
+pub use team_service::{ServiceCount, TeamService};
 pub use team_usage::{FairLevel, TeamUsage};
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
 pub use window::{RetryBudget, SlidingCounter};
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -16,7 +16,7 @@
 use super::adapter::{CallCodec, CallMetadata, GatewayAdapter, GatewayRefusal};
 use super::call_run::AdmittedCall;
 use super::caller::DrainStage;
-use crate::decision::direct::RefusalCause;
+use crate::decision::direct::{RefusalCause, call_work};
 use crate::ids::{CallFingerprint, RegionId, TeamId};
 use crate::routing::{CallKind, RouteEntry, RouteMatch, RouteTable, select_target};
 
@@ -37,20 +37,20 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<AdmittedCall, GatewayRefusal> {
-    let within_rate = context.try_admit_call(arrived);
+    let within_rate = context.admission.try_admit(arrived);
     let table = context.table.borrow().clone();
     let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
     let limit = context.limits().body_bytes;
     let (body, memory) = read_body(context, &head, body, limit).await?;
     let table = table?;
-    if !within_rate {
-        return Err(overloaded(&head));
-    }
     let metadata =
         context.adapter.codec().read_head(&head).map_err(|error| {
             log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem })
         })?;
     let CallRoute { route, team, priority, homes } = find_route(&table, &head, &metadata)?;
+    if !within_rate {
+        return Err(shed_call(context, &metadata, team.as_ref()));
+    }
     let service = select_target(&route, &metadata.attempt)
         .ok_or(GatewayRefusal::UnknownRoute { version: table.version() })?;
     let fingerprint = fingerprint(&head, &metadata, &body);
@@ -100,9 +100,19 @@
 }
 
 /// Refuses a call because of overload. Another router may take it at once.
-fn overloaded(head: &request::Parts) -> GatewayRefusal {
-    let cause = RefusalCause::Overloaded;
-    log_refusal(head, GatewayRefusal::NotRun { cause, retry_after: Duration::ZERO })
+fn shed_call<A: GatewayAdapter>(
+    context: &GatewayContext<A>,
+    metadata: &CallMetadata,
+    team: Option<&TeamId>,
+) -> GatewayRefusal {
+    if let Some(team) = team {
+        context.admission.record_shed(team, call_work(metadata.prompt.as_ref()));
+    }
+    log::info!(
+        attempt = metadata.attempt, team = team.map_or("-", |team| &**team);
+        "call shed"
+    );
+    GatewayRefusal::NotRun { cause: RefusalCause::Overloaded, retry_after: Duration::ZERO }
 }
 
 /// Logs the refusal of a call that is not run; the log line at the end of a call covers the others.
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 use super::adapter::{MemberEntry, MoveRecord};
 use super::observe::GatewayMetrics;
 use crate::decision::direct::{CallDecision, CallOutcome, PeerReport, PendingCall};
-use crate::ids::{CallId, GrantId};
+use crate::ids::{CallId, GrantId, TeamId};
 use crate::routing::{ViewBatch, ViewSnapshot};
 
 /// Event for the control thread.
@@ -34,6 +35,8 @@
         /// Whether the answer missed its objective.
         late: bool,
     },
+    /// Work of the calls that were refused because of overload, by team.
+    Shed(IndexMap<TeamId, f64>),
     /// Changes from the source.
     View(ViewBatch),
     /// The source answers again after an outage.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,7 +28,6 @@
 mod tracked_body;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
@@ -38,7 +37,6 @@
 
 use crate::clock::incarnation;
 use crate::daemon::ready_response;
-use crate::decision::direct::CallLimiter;
 use crate::ids::Incarnation;
 use crate::in_flight::InFlightCounter;
 use crate::lifecycle::daemon::{ReadyWatch, StartingDaemon, StartingSlot};
@@ -59,6 +57,7 @@
 use caller::CallCounter;
 use control::{ControlContext, OutboxReceivers, TableWatch, control_channels, run_control};
 use events::{ControlEvent, ControlSender};
+use overload::CallAdmission;
 use pool::UpstreamPool;
 
 /// Capacity of the control thread's queue, in events.
@@ -81,9 +80,7 @@
     connections: InFlightCounter,
     connection_limit: usize,
     overloaded: watch::Sender<bool>,
-    limiter: std::sync::Mutex<CallLimiter>,
-    arrivals: AtomicU64,
-    limiting: AtomicBool,
+    admission: CallAdmission,
     metrics: Arc<GatewayMetrics>,
 }
 
@@ -136,12 +133,7 @@
             connections: InFlightCounter::default(),
             connection_limit: settings.connection_limit(),
             overloaded: watch::Sender::new(false),
-            limiter: std::sync::Mutex::new(CallLimiter::new(
-                settings.processor_share,
-                Instant::now(),
-            )),
-            arrivals: AtomicU64::new(0),
-            limiting: AtomicBool::new(false),
+            admission: CallAdmission::new(settings.processor_share, Instant::now()),
             metrics: Arc::clone(&metrics),
         });
         let control_context = ControlContext {
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -11,6 +11,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::decision::direct::ServiceCount;
+use crate::ids::TeamId;
+
 /// Labels of the counters of calls and sends.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -18,6 +21,15 @@
     pub outcome: String,
 }
 
+/// Labels of the counter of teams' work.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TeamLabels {
+    /// The team.
+    pub team: String,
+    /// What became of the calls: `sent`, `refused` or `shed`.
+    pub outcome: &'static str,
+}
+
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -26,6 +38,8 @@
     pub calls: Family<CallLabels, Counter>,
     /// Sends to upstreams by outcome.
     pub sends: Family<CallLabels, Counter>,
+    /// Work of calls in tokens, by team and outcome.
+    pub team_tokens: Family<TeamLabels, Counter<f64, AtomicU64>>,
     /// Time to the first event or the answer, in seconds.
     pub first_event: Histogram,
     /// Time that calls waited for an upstream, in seconds.
@@ -54,6 +68,7 @@
             registry: Registry::with_prefix("godwitcrank"),
             calls: Family::default(),
             sends: Family::default(),
+            team_tokens: Family::default(),
             first_event: new_histogram(),
             placement: new_histogram(),
             connections: Counter::default(),
@@ -74,6 +89,11 @@
         let registry = &mut self.registry;
         registry.register("calls", "Calls by how they ended", self.calls.clone());
         registry.register("sends", "Sends to upstreams by outcome", self.sends.clone());
+        registry.register(
+            "team_tokens",
+            "Work of calls in tokens, by team and by what became of the calls",
+            self.team_tokens.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "Time to the first event or the answer",
@@ -119,6 +139,17 @@
         self.sends.get_or_create(&CallLabels { outcome: outcome.to_string() }).inc();
     }
 
+    /// Counts the work of a team's calls.
+    pub fn count_service(&self, team: &TeamId, count: ServiceCount) {
+        let outcomes = [("sent", count.sent), ("refused", count.refused), ("shed", count.shed)];
+        for (outcome, tokens) in outcomes {
+            if tokens > 0.0 {
+                let labels = TeamLabels { team: team.to_string(), outcome };
+                self.team_tokens.get_or_create(&labels).inc_by(tokens);
+            }
+        }
+    }
+
     /// Records a time in a histogram.
     pub fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -4,38 +4,75 @@
 //! not ready to the balancer and closes callers' connections after each answer, so that other
 //! routers take over.
 
-use std::sync::Arc;
-use std::sync::PoisonError;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
+
 use super::GatewayContext;
 use super::adapter::GatewayAdapter;
-use crate::decision::direct::{LoadSample, OverloadDetector};
+use super::events::ControlEvent;
+use crate::decision::direct::{CallLimiter, LoadSample, OverloadDetector};
+use crate::ids::TeamId;
 use crate::supervisor::StopSignal;
 
 /// Time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
-impl<A: GatewayAdapter> GatewayContext<A> {
+/// Admission of calls by the processor time that they need, and the calls that it refused.
+#[derive(Debug)]
+pub(super) struct CallAdmission {
+    limiter: Mutex<CallLimiter>,
+    limiting: AtomicBool,
+    arrivals: AtomicU64,
+    shed: Mutex<IndexMap<TeamId, f64>>,
+}
+
+impl CallAdmission {
+    /// Creates the admission of a router with a fraction of a processor core.
+    pub(super) fn new(processor_share: f64, now: Instant) -> Self {
+        Self {
+            limiter: Mutex::new(CallLimiter::new(processor_share, now)),
+            limiting: AtomicBool::new(false),
+            arrivals: AtomicU64::new(0),
+            shed: Mutex::default(),
+        }
+    }
+
     /// Counts a call and returns whether it is admitted; the rate is limited only under overload.
-    pub(super) fn try_admit_call(&self, now: Instant) -> bool {
+    pub(super) fn try_admit(&self, now: Instant) -> bool {
         self.arrivals.fetch_add(1, Ordering::Relaxed);
-        let admitted = self.limiter.lock().unwrap_or_else(PoisonError::into_inner).try_admit(now);
+        let admitted = self.limiter().try_admit(now);
         admitted || !self.limiting.load(Ordering::Relaxed)
     }
 
     /// Returns whether a new connection may be served; only limited under overload.
     pub(super) fn can_accept_connection(&self, now: Instant) -> bool {
-        !self.limiting.load(Ordering::Relaxed)
-            || self.limiter.lock().unwrap_or_else(PoisonError::into_inner).has_budget(now)
+        !self.limiting.load(Ordering::Relaxed) || self.limiter().has_budget(now)
+    }
+
+    /// Counts the work of a call that was refused because of overload.
+    pub(super) fn record_shed(&self, team: &TeamId, work: f64) {
+        let mut shed = self.shed.lock().unwrap_or_else(PoisonError::into_inner);
+        *shed.entry(TeamId::clone(team)).or_default() += work;
+    }
+
+    fn limiter(&self) -> MutexGuard<'_, CallLimiter> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_shed(&self) -> IndexMap<TeamId, f64> {
+        std::mem::take(&mut self.shed.lock().unwrap_or_else(PoisonError::into_inner))
     }
+}
 
+impl<A: GatewayAdapter> GatewayContext<A> {
     fn sample_load(&self, interval: Duration, lateness: Duration) -> LoadSample {
         LoadSample {
             lateness,
             connections_used: self.connections.count() as f64 / self.connection_limit.max(1) as f64,
-            calls: self.arrivals.swap(0, Ordering::Relaxed),
+            calls: self.admission.arrivals.swap(0, Ordering::Relaxed),
             interval,
         }
     }
@@ -58,7 +95,11 @@
         let sample = context.sample_load(now.duration_since(last), now.duration_since(due));
         last = now;
         let change = detector.record(sample, now);
-        context.limiting.store(detector.limits_calls(), Ordering::Relaxed);
+        context.admission.limiting.store(detector.limits_calls(), Ordering::Relaxed);
+        let shed = context.admission.take_shed();
+        if !shed.is_empty() {
+            context.send_event(ControlEvent::Shed(shed));
+        }
         let Some(overloaded) = change else { continue };
         log::warn!(
             lateness_ms = detector.lateness().as_millis() as u64,
