--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -37,7 +37,7 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<AdmittedCall, GatewayRefusal> {
-    let within_rate = context.admission.try_admit(arrived);
+    let within_rate = context.admission.control().try_admit(arrived);
     let table = context.table.borrow().clone();
     let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
     let limit = context.limits().body_bytes;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -186,7 +186,7 @@
 fn refuse_connection<A: GatewayAdapter>(context: &GatewayContext<A>) -> Option<&'static str> {
     if context.connections.count() >= context.connection_limit {
         Some("too many are open")
-    } else if !context.admission.can_accept_connection(Instant::now()) {
+    } else if !context.admission.control().can_accept_connection(Instant::now()) {
         Some("overloaded")
     } else {
         None
--- /dev/null
+++ b/tests/testsuite/fair_margin.rs
@@ -0,0 +1,111 @@
+//! Margin of the fairness rule in simulated fleets, second by second.
+//!
+//! The rule: in any six seconds, a team whose calls are refused gets at least half of what it asked
+//! for or of what the best served team got, whichever is less second by second, less three of the
+//! largest calls.
+
+use std::time::Duration;
+
+use godwitcrank::ids::TeamId;
+use googletest::prelude::*;
+use indexmap::IndexMap;
+
+use super::support::router_fleet::{FleetPlan, RouterFleet, SimulatedTeam, TeamRecord};
+
+/// Length of the rule's window, in seconds.
+const WINDOW_SECONDS: usize = 6;
+
+/// Seconds after the start of traffic that are not judged, since nothing is cached then.
+const WARM_UP_SECONDS: usize = 2;
+
+/// Work of the largest call, in tokens.
+const LARGEST_CALL: f64 = 9_300.0;
+
+/// Small routers have 0.09 of a core, large ones half of one.
+const SMALL: f64 = 0.09;
+const LARGE: f64 = 0.5;
+
+fn team(name: &str, rate: f64, home: Option<usize>) -> SimulatedTeam {
+    SimulatedTeam { name: name.into(), rate, home }
+}
+
+/// Returns the least margin of a team over all windows, as a fraction of what the rule demands:
+/// negative where the rule is broken.
+fn least_margin(records: &IndexMap<TeamId, TeamRecord>, team: &str) -> f64 {
+    let record = &records[team];
+    let seconds = record.got.len() - 1;
+    (WARM_UP_SECONDS..=seconds - WINDOW_SECONDS)
+        .map(|from| {
+            let window = from..from + WINDOW_SECONDS;
+            let demanded: f64 = window.clone().map(|second| demand(records, record, second)).sum();
+            let got: f64 = record.got[window].iter().sum();
+            (got - (demanded - 3.0 * LARGEST_CALL)) / demanded.max(1.0)
+        })
+        .fold(f64::INFINITY, f64::min)
+}
+
+fn demand(records: &IndexMap<TeamId, TeamRecord>, record: &TeamRecord, second: usize) -> f64 {
+    let best = records.values().map(|other| other.got[second]).fold(0.0, f64::max);
+    record.asked[second].min(best) / 2.0
+}
+
+fn describe(records: &IndexMap<TeamId, TeamRecord>) -> String {
+    let thousands = |values: &[f64]| -> Vec<u64> {
+        values.iter().map(|value| (value / 1000.0) as u64).collect()
+    };
+    records
+        .iter()
+        .map(|(name, record)| {
+            let (asked, got) = (thousands(&record.asked), thousands(&record.got));
+            format!("\n{name} asked {asked:?}\n{name} got   {got:?}")
+        })
+        .collect()
+}
+
+/// Runs the plan with three seeds and checks the margin of each team that is named.
+fn expect_margins(plan: &FleetPlan, teams: &[&str]) {
+    for seed in 1..=3 {
+        let records = RouterFleet::run(FleetPlan { seed, ..plan.clone() });
+        for team in teams {
+            let margin = least_margin(&records, team);
+            expect_that!(margin, ge(0.0), "{team}, seed {seed}{}", describe(&records));
+        }
+    }
+}
+
+/// Guards against a small router whose overload control refuses calls that its processor bears, so
+/// that a large team whose callers all meet it gets far less than the others. Fixed: two large
+/// teams, one of them at one small router; routers of two sizes; equal engines.
+#[gtest]
+fn margin_large_team_at_small_router() {
+    let mut teams = vec![team("one-router", 300.0, Some(0)), team("all-routers", 500.0, None)];
+    teams.extend((0..10).map(|index| team(&format!("small-{index}"), 10.0, None)));
+    let plan = FleetPlan {
+        routers: vec![SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, LARGE, LARGE],
+        engines: 16,
+        stated_rate: 2_800_000.0,
+        teams,
+        length: Duration::from_secs(14),
+        seed: 0,
+    };
+    expect_margins(&plan, &["one-router", "all-routers"]);
+}
+
+/// Guards against teams being served in proportion to what they ask for, when the engines do more
+/// than the configuration states: with more than twice the work that they bear, a team of medium
+/// size then gets less than half of its demand, and the largest several times as much. Fixed: one
+/// flood and five teams of medium size, all at large routers; equal engines.
+#[gtest]
+fn margin_medium_team_beside_flood() {
+    let mut teams = vec![team("flood", 1_000.0, None), team("one-router", 100.0, Some(0))];
+    teams.extend((0..4).map(|index| team(&format!("medium-{index}"), 100.0, None)));
+    let plan = FleetPlan {
+        routers: vec![LARGE; 8],
+        engines: 16,
+        stated_rate: 2_800_000.0,
+        teams,
+        length: Duration::from_secs(14),
+        seed: 0,
+    };
+    expect_margins(&plan, &["one-router", "medium-0", "medium-1", "medium-2", "medium-3"]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod edge;
 mod event_stream;
 mod fair_fleet;
+mod fair_margin;
 mod fair_queue;
 mod fair_share;
 mod guide;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -24,6 +24,7 @@
 
 pub mod extra_upstream;
 pub mod operator;
+pub mod router_fleet;
 
 use std::path::Path;
 
--- /dev/null
+++ b/tests/testsuite/support/router_fleet.rs
@@ -0,0 +1,473 @@
+//! Simulated fleet of routers: the decision code of each, driven by a schedule with a seed.
+//!
+//! Time is simulated. A router's processor works on its calls one after another, an engine reads
+//! prompts one after another, and routers exchange reports every 100 ms. All callers of a team with
+//! a home router meet this router while it is in the balancer's rotation, else the next one; all
+//! other callers meet any router. A refused caller tries once more after the stated delay.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use godwitcrank::decision::direct::{
+    BudgetCharge, CallDecision, CallOutcome, DirectDispatcher, FleetBounds, OverloadControl,
+    PeerReport, PendingCall, PromptPart, PromptShape, call_work,
+};
+use godwitcrank::ids::{CallId, GrantId, TeamId};
+use godwitcrank::routing::{
+    CallerLimits, RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange,
+};
+use indexmap::{IndexMap, IndexSet};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Processor time of a call on a whole core until it is dispatched, of its answer, and of a call
+/// that is refused for overload.
+const CALL_PROCESSOR_TIME: Duration = Duration::from_micros(120);
+const ANSWER_PROCESSOR_TIME: Duration = Duration::from_micros(80);
+const REFUSAL_PROCESSOR_TIME: Duration = Duration::from_micros(50);
+
+/// Prompt tokens that an engine reads per second.
+const ENGINE_RATE: f64 = 110_000.0;
+
+/// Time from the start of a prompt's answer to the end of the answer.
+const ANSWER_TIME: Duration = Duration::from_millis(80);
+
+/// Time after which the balancer stops sending callers to a router that is not ready.
+const ROTATION_DELAY: Duration = Duration::from_millis(1500);
+
+/// Interval of reports and samples.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Interval at which each dispatcher looks at its deadlines.
+const DEADLINE_TICK: Duration = Duration::from_millis(10);
+
+/// Calls that a team's callers send at the same time.
+const CLUMP: usize = 3;
+
+/// Shared prompt parts of each team, their size, and the size of the rest of a prompt, in tokens.
+const SHARED_PARTS: u64 = 60;
+const SHARED_TOKENS: u32 = 6_300;
+const OWN_TOKENS: u32 = 2_900;
+
+/// Output of each call, in tokens.
+const OUTPUT_TOKENS: u32 = 50;
+
+const OBJECTIVE: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// A team and its callers.
+#[derive(Clone, Debug)]
+pub struct SimulatedTeam {
+    /// Name of the team.
+    pub name: TeamId,
+    /// Calls per second.
+    pub rate: f64,
+    /// Index of the router that all its callers meet; `None` when they meet any.
+    pub home: Option<usize>,
+}
+
+/// Routers, engines and teams of a simulation.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Fraction of a processor core of each router.
+    pub routers: Vec<f64>,
+    /// Number of engines.
+    pub engines: usize,
+    /// Rate that the configuration states for all engines, in tokens per second.
+    pub stated_rate: f64,
+    /// The teams.
+    pub teams: Vec<SimulatedTeam>,
+    /// Simulated time.
+    pub length: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// Work that a team asked for and got in each second, in tokens. A call counts once as asked, and
+/// as got in the second in which it is sent.
+#[derive(Clone, Debug, Default)]
+pub struct TeamRecord {
+    /// Work asked for, by second.
+    pub asked: Vec<f64>,
+    /// Work got, by second.
+    pub got: Vec<f64>,
+}
+
+#[derive(Debug)]
+struct SimulatedRouter {
+    processor_share: f64,
+    dispatcher: DirectDispatcher,
+    control: OverloadControl,
+    busy_until: Instant,
+    overloaded_since: Option<Instant>,
+    sequence: u64,
+}
+
+#[derive(Debug)]
+struct SimulatedEngine {
+    busy_until: Instant,
+    cached: IndexSet<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct SimulatedCall {
+    team: usize,
+    prompt: PromptShape,
+    retries_left: u32,
+}
+
+#[derive(Debug)]
+enum FleetEvent {
+    Clump { team: usize },
+    Arrival { router: usize, call: SimulatedCall },
+    Retry { call: SimulatedCall },
+    Admitted { router: usize, call: SimulatedCall, arrived: Instant },
+    FirstEvent { router: usize, grant: GrantId },
+    FirstEventRead { router: usize, grant: GrantId },
+    End { router: usize, grant: GrantId },
+    Tick,
+    DeadlineTick,
+}
+
+/// A running simulation.
+pub struct RouterFleet {
+    plan: FleetPlan,
+    start: Instant,
+    now: Instant,
+    random: StdRng,
+    routers: Vec<SimulatedRouter>,
+    engines: IndexMap<String, SimulatedEngine>,
+    calls: IndexMap<CallId, SimulatedCall>,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    events: IndexMap<u64, FleetEvent>,
+    next_event: u64,
+    next_call: CallId,
+    records: IndexMap<TeamId, TeamRecord>,
+}
+
+impl RouterFleet {
+    /// Runs the plan and returns what each team asked for and got.
+    pub fn run(plan: FleetPlan) -> IndexMap<TeamId, TeamRecord> {
+        let mut fleet = Self::new(plan);
+        let end = fleet.start + fleet.plan.length;
+        while let Some(Reverse((at, id))) = fleet.queue.pop() {
+            if at >= end {
+                break;
+            }
+            fleet.now = at;
+            if let Some(event) = fleet.events.swap_remove(&id) {
+                fleet.handle(event);
+            }
+        }
+        fleet.records
+    }
+
+    fn new(plan: FleetPlan) -> Self {
+        let start = Instant::now();
+        let seconds = plan.length.as_secs() as usize + 1;
+        let record = TeamRecord { asked: vec![0.0; seconds], got: vec![0.0; seconds] };
+        let engines: IndexMap<String, SimulatedEngine> = (0..plan.engines)
+            .map(|index| {
+                let engine = SimulatedEngine { busy_until: start, cached: IndexSet::new() };
+                (format!("engine-{index}"), engine)
+            })
+            .collect();
+        let routers = (0..plan.routers.len())
+            .map(|index| SimulatedRouter {
+                processor_share: plan.routers[index],
+                dispatcher: dispatcher(index, &plan, start),
+                control: OverloadControl::new(plan.routers[index], start),
+                busy_until: start,
+                overloaded_since: None,
+                sequence: 0,
+            })
+            .collect();
+        let mut fleet = Self {
+            start,
+            now: start,
+            random: StdRng::seed_from_u64(plan.seed),
+            routers,
+            engines,
+            calls: IndexMap::new(),
+            queue: BinaryHeap::new(),
+            events: IndexMap::new(),
+            next_event: 0,
+            next_call: 1,
+            records: plan.teams.iter().map(|team| (team.name.clone(), record.clone())).collect(),
+            plan,
+        };
+        fleet.schedule(TICK, FleetEvent::Tick);
+        fleet.schedule(DEADLINE_TICK, FleetEvent::DeadlineTick);
+        for team in 0..fleet.plan.teams.len() {
+            fleet.schedule_clump(team);
+        }
+        fleet
+    }
+
+    fn schedule(&mut self, delay: Duration, event: FleetEvent) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((self.now + delay, self.next_event)));
+    }
+
+    /// Schedules the next calls of a team, with exponential gaps.
+    fn schedule_clump(&mut self, team: usize) {
+        let uniform: f64 = self.random.random_range(f64::EPSILON..1.0);
+        let gap = -uniform.ln() * CLUMP as f64 / self.plan.teams[team].rate;
+        self.schedule(Duration::from_secs_f64(gap), FleetEvent::Clump { team });
+    }
+
+    fn handle(&mut self, event: FleetEvent) {
+        match event {
+            FleetEvent::Clump { team } => self.send_clump(team),
+            FleetEvent::Arrival { router, call } => self.admit(router, call),
+            FleetEvent::Retry { call } => {
+                let router = self.meet_router(call.team);
+                self.admit(router, call);
+            }
+            FleetEvent::Admitted { router, call, arrived } => self.enqueue(router, call, arrived),
+            FleetEvent::FirstEvent { router, grant } => {
+                let delay = self.process(router, ANSWER_PROCESSOR_TIME);
+                self.schedule(delay, FleetEvent::FirstEventRead { router, grant });
+                self.schedule(delay + ANSWER_TIME, FleetEvent::End { router, grant });
+            }
+            FleetEvent::FirstEventRead { router, grant } => {
+                self.routers[router].dispatcher.record_first_event(grant, self.now);
+                self.dispatch(router);
+            }
+            FleetEvent::End { router, grant } => {
+                let dispatcher = &mut self.routers[router].dispatcher;
+                dispatcher.record_end(grant, CallOutcome::Completed, false, self.now);
+                self.dispatch(router);
+            }
+            FleetEvent::Tick => self.tick(),
+            FleetEvent::DeadlineTick => {
+                for router in 0..self.routers.len() {
+                    self.dispatch(router);
+                }
+                self.schedule(DEADLINE_TICK, FleetEvent::DeadlineTick);
+            }
+        }
+    }
+
+    fn send_clump(&mut self, team: usize) {
+        for _ in 0..CLUMP {
+            let prompt = self.prompt(team);
+            let second = self.second();
+            let name = &self.plan.teams[team].name;
+            self.records[name].asked[second] += call_work(Some(&prompt));
+            let router = self.meet_router(team);
+            let call = SimulatedCall { team, prompt, retries_left: 1 };
+            self.schedule(Duration::ZERO, FleetEvent::Arrival { router, call });
+        }
+        self.schedule_clump(team);
+    }
+
+    fn prompt(&mut self, team: usize) -> PromptShape {
+        let shared = team as u64 * SHARED_PARTS + self.random.random_range(0..SHARED_PARTS);
+        PromptShape {
+            tokens_in: SHARED_TOKENS + OWN_TOKENS,
+            tokens_out: OUTPUT_TOKENS,
+            parts: vec![
+                PromptPart { id: shared, tokens: SHARED_TOKENS },
+                PromptPart { id: u64::MAX, tokens: OWN_TOKENS },
+            ],
+        }
+    }
+
+    /// Returns the router that the balancer gives a caller of the team.
+    fn meet_router(&mut self, team: usize) -> usize {
+        let count = self.routers.len();
+        let first = match self.plan.teams[team].home {
+            Some(home) => home,
+            None => self.random.random_range(0..count),
+        };
+        (first..first + count)
+            .map(|index| index % count)
+            .find(|index| {
+                self.routers[*index]
+                    .overloaded_since
+                    .is_none_or(|since| self.now.saturating_duration_since(since) < ROTATION_DELAY)
+            })
+            .unwrap_or(first)
+    }
+
+    /// Adds work to the queue of a router's processor; returns the time until it is done.
+    fn process(&mut self, router: usize, processor_time: Duration) -> Duration {
+        let router = &mut self.routers[router];
+        let time = processor_time.div_f64(router.processor_share);
+        router.busy_until = router.busy_until.max(self.now) + time;
+        router.busy_until - self.now
+    }
+
+    /// Takes a call into the queue of a router's processor, or refuses it.
+    fn admit(&mut self, router: usize, call: SimulatedCall) {
+        let now = self.now;
+        if self.routers[router].control.try_admit(now) {
+            let delay = self.process(router, CALL_PROCESSOR_TIME);
+            self.schedule(delay, FleetEvent::Admitted { router, call, arrived: now });
+        } else {
+            let delay = self.process(router, REFUSAL_PROCESSOR_TIME);
+            self.retry(call, delay);
+        }
+    }
+
+    fn retry(&mut self, mut call: SimulatedCall, delay: Duration) {
+        if call.retries_left > 0 {
+            call.retries_left -= 1;
+            self.schedule(delay, FleetEvent::Retry { call });
+        }
+    }
+
+    fn enqueue(&mut self, router: usize, call: SimulatedCall, arrived: Instant) {
+        let id = self.next_call;
+        self.next_call += 1;
+        let pending = PendingCall {
+            id,
+            service: "model".into(),
+            team: Some(self.plan.teams[call.team].name.clone()),
+            priority: 1,
+            homes: None,
+            prompt: Some(call.prompt.clone()),
+            objective: OBJECTIVE,
+            arrived,
+            deadline: arrived + DEADLINE,
+            fingerprint: id,
+            tried: Vec::new(),
+            charge: BudgetCharge::First,
+        };
+        self.routers[router].dispatcher.enqueue(pending);
+        self.calls.insert(id, call);
+        self.dispatch(router);
+    }
+
+    fn dispatch(&mut self, router: usize) {
+        for (id, decision) in self.routers[router].dispatcher.dispatch(self.now) {
+            let Some(call) = self.calls.swap_remove(&id) else { continue };
+            match decision {
+                CallDecision::Send(grant) => self.send(router, &call, &grant.upstream, grant.id),
+                CallDecision::Refuse { retry_after, .. } => self.retry(call, retry_after),
+            }
+        }
+    }
+
+    fn send(&mut self, router: usize, call: &SimulatedCall, upstream: &str, grant: GrantId) {
+        let second = self.second();
+        let name = &self.plan.teams[call.team].name;
+        self.records[name].got[second] += call_work(Some(&call.prompt));
+        let engine = &mut self.engines[upstream];
+        let is_cached = !engine.cached.insert(call.prompt.parts[0].id);
+        let tokens = if is_cached { OWN_TOKENS } else { SHARED_TOKENS + OWN_TOKENS };
+        let reading = Duration::from_secs_f64(f64::from(tokens) / ENGINE_RATE);
+        engine.busy_until = engine.busy_until.max(self.now) + reading;
+        let delay = engine.busy_until - self.now;
+        self.schedule(delay, FleetEvent::FirstEvent { router, grant });
+    }
+
+    /// Samples the load of all routers and exchanges their reports.
+    fn tick(&mut self) {
+        let now = self.now;
+        for router in &mut self.routers {
+            let lateness = router.busy_until.saturating_duration_since(now);
+            match router.control.record(lateness, 0.0, TICK, now) {
+                Some(true) => router.overloaded_since = Some(now),
+                Some(false) => router.overloaded_since = None,
+                None => {}
+            }
+        }
+        for sender in 0..self.routers.len() {
+            let report = self.report(sender);
+            for receiver in (0..self.routers.len()).filter(|receiver| *receiver != sender) {
+                self.routers[receiver].dispatcher.record_report(report.clone(), now);
+            }
+        }
+        for router in &mut self.routers {
+            router.dispatcher.refresh_from_peers(now);
+        }
+        self.schedule(TICK, FleetEvent::Tick);
+    }
+
+    fn report(&mut self, sender: usize) -> PeerReport {
+        let router = &mut self.routers[sender];
+        router.sequence += 1;
+        let mut report = PeerReport {
+            node: format!("router-{sender}").into(),
+            address: ([127, 0, 0, 1], 7000).into(),
+            incarnation: 1,
+            sequence: router.sequence,
+            operators: 0,
+            upstreams: 0,
+            loads: Vec::new(),
+            teams: Vec::new(),
+            suspects: Vec::new(),
+            trials: Vec::new(),
+            leaving: false,
+        };
+        router.dispatcher.fill_report(&mut report, self.now);
+        report
+    }
+
+    fn second(&self) -> usize {
+        self.now.duration_since(self.start).as_secs() as usize
+    }
+}
+
+fn dispatcher(index: usize, plan: &FleetPlan, now: Instant) -> DirectDispatcher {
+    let bounds = FleetBounds {
+        retry_ratio: 0.2,
+        retry_window: Duration::from_secs(10),
+        retry_slack: 10.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+    };
+    let mut dispatcher = DirectDispatcher::new(
+        format!("router-{index}").into(),
+        "caerdydd".into(),
+        IndexMap::new(),
+        bounds,
+    );
+    dispatcher.apply(&configuration(plan.stated_rate), now);
+    for engine in 0..plan.engines {
+        let change = ViewChange::Upstream(format!("engine-{engine}").into(), engine_entry());
+        dispatcher.apply(&change, now);
+    }
+    dispatcher.set_members(plan.routers.len() as u32);
+    dispatcher
+}
+
+fn configuration(stated_rate: f64) -> ViewChange {
+    ViewChange::Configuration(Arc::new(RouteConfiguration {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![ServiceEntry {
+            name: "model".into(),
+            connection_limit: 10_000,
+            cold_period: Duration::ZERO,
+            cold_rate: 0.0,
+            memory_tokens: Some(10_000_000),
+        }],
+        teams: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+        work_rate: Some(stated_rate),
+    }))
+}
+
+fn engine_entry() -> UpstreamEntry {
+    UpstreamEntry {
+        service: "model".into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "caerdydd".into(),
+        version: "v1".into(),
+        slots: 128,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        started: None,
+    }
+}
