Learn the call rate that a router sustains from what it serves in time

Cause: the control compared arrivals with a constant cost of 0.4 ms a call, twice the true one, and shed callers as soon as arrivals passed that rate; the balancer then moved the whole team to the next small router, with a second or two of refusals at each. Change: the rate starts at the constant, rises to every rate that is served in time and falls while timers are late, not below the start. The limit stays on until the demand is low, instead of going on and off with the lateness. Callers are shed at twice the sustained rate; the bucket holds 75 ms of calls instead of 250 ms, which made calls wait that long.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod selection;
 mod suspects;
+mod sustainable_rate;
 mod team_service;
 mod team_usage;
 mod version_trial;
--- a/src/decision/direct/overload.rs
+++ b/src/decision/direct/overload.rs
@@ -2,15 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-/// Processor time of a call and its answer on one core at the machines' reference speed; see
-/// `docs/CAPACITY.md`.
-const CALL_COST: Duration = Duration::from_micros(400);
+use super::sustainable_rate::{self, SustainableRate};
 
-/// Processor time of a call that is refused at once.
-const REFUSAL_COST: Duration = Duration::from_micros(100);
+/// Processor time of a call that is refused at once, as a fraction of that of an admitted call.
+pub(super) const REFUSAL_COST: f64 = 0.25;
 
 /// Length of a burst, at the sustainable rate, that the limiter lets through.
-const BURST_TIME: Duration = Duration::from_millis(250);
+const BURST_TIME: Duration = Duration::from_millis(75);
 
 /// Smallest burst of any router, in calls.
 const MIN_BURST_CALLS: f64 = 8.0;
@@ -19,23 +17,18 @@
 /// up to 100 ms that a processor quota alone causes on single timers.
 const MAX_LATENESS: Duration = Duration::from_millis(120);
 
-/// Averaged timer lateness above which the process counts as overloaded while calls arrive faster
-/// than the sustainable rate. High demand tells a growing shortage from the pauses of a quota, so
-/// this limit can be lower.
-const MAX_LATENESS_ABOVE_CAPACITY: Duration = Duration::from_millis(15);
-
 /// Averaged timer lateness below which the overload may end.
 const RECOVERY_LATENESS: Duration = Duration::from_millis(30);
 
 /// Weight of a new sample in the moving averages.
-const SAMPLE_WEIGHT: f64 = 0.3;
+pub(super) const SAMPLE_WEIGHT: f64 = 0.3;
 
 /// Fractions of the connections in use at which overload begins and may end.
 const OVERLOADED_CONNECTIONS: f64 = 0.75;
 const RECOVERED_CONNECTIONS: f64 = 0.5;
 
 /// Demand at which overload begins and may end, as a fraction of the sustainable rate.
-const OVERLOADED_DEMAND: f64 = 1.0;
+const OVERLOADED_DEMAND: f64 = 2.0;
 const RECOVERED_DEMAND: f64 = 0.6;
 
 /// Shortest and longest time for which callers are shed. It doubles on each relapse: a relapse
@@ -46,20 +39,13 @@
 /// Overload that begins within this time of the last one counts as a relapse.
 const RELAPSE_WINDOW: Duration = Duration::from_secs(10);
 
-/// Returns the calls per second that a fraction of a processor core can serve.
-fn sustainable_rate(processor_share: f64) -> f64 {
-    processor_share / CALL_COST.as_secs_f64()
-}
-
-/// Limits the rate of calls to what the router's processor can serve.
+/// Limits the rate of calls to what the router's processor sustains.
 ///
-/// A token bucket of processor seconds. A call that finds too little is refused at once, so that
-/// its caller still has time to try another router. Refusals use processor time and are charged
-/// too.
+/// A token bucket, in calls. A call that finds too little is refused at once, so that its caller
+/// still has time to try another router. Refusals use processor time and are charged too.
 #[derive(Debug)]
 pub struct CallLimiter {
-    processor_share: f64,
-    burst: f64,
+    rate: f64,
     budget: f64,
     refilled: Instant,
 }
@@ -67,28 +53,37 @@
 impl CallLimiter {
     /// Creates a full bucket for a router with a fraction of a processor core.
     pub fn new(processor_share: f64, now: Instant) -> Self {
-        let min_burst = MIN_BURST_CALLS * CALL_COST.as_secs_f64();
-        let burst = (processor_share * BURST_TIME.as_secs_f64()).max(min_burst);
-        Self { processor_share, burst, budget: burst, refilled: now }
+        let rate = SustainableRate::new(processor_share).per_second();
+        Self { rate, budget: burst(rate), refilled: now }
+    }
+
+    /// Sets the rate to which calls are limited, in calls per second.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
     }
 
     /// Charges a call, or its refusal; returns whether the call is admitted.
     pub fn try_admit(&mut self, now: Instant) -> bool {
         let has_budget = self.has_budget(now);
-        let cost = if has_budget { CALL_COST } else { REFUSAL_COST };
-        self.budget = (self.budget - cost.as_secs_f64()).max(0.0);
+        let cost = if has_budget { 1.0 } else { REFUSAL_COST };
+        self.budget = (self.budget - cost).max(0.0);
         has_budget
     }
 
-    /// Refills the bucket and returns whether it holds the cost of another call.
+    /// Refills the bucket and returns whether it holds another call.
     pub fn has_budget(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
-        self.budget = (self.budget + passed * self.processor_share).min(self.burst);
+        self.budget = (self.budget + passed * self.rate).min(burst(self.rate));
         self.refilled = now;
-        self.budget >= CALL_COST.as_secs_f64()
+        self.budget >= 1.0
     }
 }
 
+/// Returns the largest burst at a rate, in calls.
+fn burst(rate: f64) -> f64 {
+    (rate * BURST_TIME.as_secs_f64()).max(MIN_BURST_CALLS)
+}
+
 /// Load of the process since the last sample.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadSample {
@@ -117,7 +112,7 @@
     /// Creates a detector that reports no overload.
     pub fn new(processor_share: f64, now: Instant) -> Self {
         Self {
-            sustainable_rate: sustainable_rate(processor_share),
+            sustainable_rate: SustainableRate::new(processor_share).per_second(),
             lateness: 0.0,
             demand: 0.0,
             overloaded: false,
@@ -126,6 +121,11 @@
         }
     }
 
+    /// Sets the rate that the demand is compared with, in calls per second.
+    pub fn set_sustainable_rate(&mut self, rate: f64) {
+        self.sustainable_rate = rate;
+    }
+
     /// Moving average of the timers' lateness.
     pub fn lateness(&self) -> Duration {
         Duration::from_secs_f64(self.lateness)
@@ -136,9 +136,15 @@
         self.demand
     }
 
-    /// Returns whether the [`CallLimiter`] is to be enforced.
-    pub fn limits_calls(&self) -> bool {
-        self.demand > RECOVERED_DEMAND && self.lateness > MAX_LATENESS_ABOVE_CAPACITY.as_secs_f64()
+    /// Returns whether timers are late while the demand is high. High demand tells a shortage of
+    /// processor time from the pauses of a processor quota, so the limit on lateness can be low.
+    pub fn is_short_of_time(&self) -> bool {
+        self.demand > RECOVERED_DEMAND && self.lateness() > sustainable_rate::MAX_LATENESS
+    }
+
+    /// Returns whether the demand is low enough for all calls to be admitted.
+    pub fn has_spare_time(&self) -> bool {
+        self.demand < RECOVERED_DEMAND
     }
 
     /// Adds a sample; returns the new state when the overload begins or ends.
@@ -158,7 +164,7 @@
         } else {
             let is_overloaded = self.lateness > MAX_LATENESS.as_secs_f64()
                 || sample.connections_used > OVERLOADED_CONNECTIONS
-                || (self.demand > OVERLOADED_DEMAND && self.limits_calls());
+                || (self.demand > OVERLOADED_DEMAND && self.is_short_of_time());
             if !is_overloaded {
                 return None;
             }
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -91,7 +91,8 @@
     let detector = control.detector();
     log::warn!(
         lateness_ms = detector.lateness().as_millis() as u64,
-        connections_used = connections_used, demand = detector.demand();
+        connections_used = connections_used, demand = detector.demand(),
+        sustainable_rate = control.sustainable_rate().round();
         "{}", if overloaded { "overloaded; shedding callers" } else { "overload ended" }
     );
     Some(overloaded)
