Count the wait for an upstream from the call's arrival at the dispatcher

Seen: at front-bkk-c-4 calls that were refused as no-capacity had waited 121 ms at the median, at other routers 55 ms, the longest wait. Its team was refused as often as one with twice its usage. Cause: both the longest wait and the time within which an upstream must start were counted from the call's arrival at the router. A small router's own delay used them up, so that its calls found no capacity at engines that took calls of all other routers. Change: both count from the arrival at the dispatcher. The router's delay is bounded apart: no call is sent when its first event would come later than 0.85 of its objective, and a call that is past it is refused at once.

--- a/src/decision/direct/capacity.rs
+++ b/src/decision/direct/capacity.rs
@@ -6,11 +6,13 @@
 use super::candidates::PREFERRED_UPSTREAMS;
 use super::load::UpstreamLoad;
 use super::team_usage::FairLevel;
+use super::waiting::LATEST_START_FRACTION;
 use crate::decision::rendezvous::rendezvous_weight;
 use crate::ids::{DataCentreId, NodeId, UpstreamId};
 use crate::routing::ServiceEntry;
 
-/// Fraction of a call's objective within which its first event must be expected when it is sent.
+/// Fraction of a call's objective within which its first event must be expected when it is sent,
+/// counted from its arrival at the dispatcher.
 const START_FRACTION: f64 = 0.62;
 
 /// The same for a call that would make an engine that is not its preferred one read shared parts
@@ -91,6 +93,8 @@
     pub(super) rank: Option<usize>,
     /// Fractions of the objective for the call's team.
     pub(super) fractions: StartFractions,
+    /// When the dispatcher received the call.
+    pub(super) queued_at: Instant,
 }
 
 /// Returns the fractions for calls of a team: full up to the fair level, and lower the more its
@@ -186,8 +190,12 @@
 ) -> bool {
     let spilled = needs.rank != Some(0) && misses_shared_parts(prompt, needs.uncached);
     let fraction = if spilled { needs.fractions.spill } else { needs.fractions.start };
-    let wait = load.expected_wait(needs.uncached) + now.duration_since(call.arrived);
-    if wait <= call.objective.mul_f64(fraction) {
+    let expected_wait = load.expected_wait(needs.uncached);
+    let wait = expected_wait + now.duration_since(call.arrived);
+    let upstream_wait = expected_wait + now.duration_since(needs.queued_at);
+    if upstream_wait <= call.objective.mul_f64(fraction)
+        && wait <= call.objective.mul_f64(LATEST_START_FRACTION)
+    {
         return true;
     }
     let idle = load.own.waiting_tokens + load.peers.waiting_tokens == 0;
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -14,7 +14,7 @@
 use super::team_service::{ServiceCount, TeamService};
 use super::team_usage::{FairLevel, TeamUsage};
 use super::version_trial::VersionTrial;
-use super::waiting::{ChangedUpstreams, WaitingCall, placement_deadline, retry_after};
+use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
 use crate::ids::{
     CallFingerprint, CallId, DataCentreId, GrantId, NodeId, RegionId, ServiceId, TeamId, UpstreamId,
@@ -194,8 +194,8 @@
     }
 
     /// Adds a pending call; [`Self::dispatch`] decides about it.
-    pub fn enqueue(&mut self, call: PendingCall) {
-        self.waiting.push(WaitingCall { call, candidates: None });
+    pub fn enqueue(&mut self, call: PendingCall, now: Instant) {
+        self.waiting.push(WaitingCall::new(call, now));
     }
 
     /// Removes a pending call whose caller left.
@@ -205,7 +205,7 @@
 
     /// Returns when the next pending call has to be refused.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.waiting.iter().map(|waiting| placement_deadline(&waiting.call)).min()
+        self.waiting.iter().map(WaitingCall::placement_deadline).min()
     }
 
     /// Decides about the pending calls, by priority, then by the least recent usage of the team.
@@ -290,8 +290,10 @@
             return refuse(RefusalCause::Suspect);
         }
         let candidates = waiting.candidates.unwrap_or_else(|| self.candidates(call, now));
-        let Some((upstream, uncached)) = self.select_upstream(call, &candidates, now) else {
-            if now < placement_deadline(call) {
+        let Some((upstream, uncached)) =
+            self.select_upstream(call, &candidates, waiting.queued_at, now)
+        else {
+            if now < waiting.placement_deadline() {
                 waiting.candidates = Some(candidates);
                 return None;
             }
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -78,6 +78,7 @@
         &mut self,
         call: &PendingCall,
         candidates: &CandidateSet,
+        queued_at: Instant,
         now: Instant,
     ) -> Option<(UpstreamId, u64)> {
         let service = &self.services.get(&call.service)?.entry;
@@ -98,7 +99,7 @@
             let rank = candidates.rank(index);
             let uncached =
                 call.prompt.as_ref().map_or(0, |prompt| expected_uncached(load, prompt, rank));
-            let needs = CallNeeds { uncached, rank, fractions };
+            let needs = CallNeeds { uncached, rank, fractions, queued_at };
             if !has_capacity(load, call, service, needs, routers, now) {
                 continue;
             }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -136,7 +136,7 @@
         match event {
             ControlEvent::Place { call, reply } => {
                 self.replies.insert(call.id, reply);
-                self.dispatcher.enqueue(*call);
+                self.dispatcher.enqueue(*call, now);
             }
             ControlEvent::Cancel(id) => {
                 self.replies.swap_remove(&id);
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -133,7 +133,7 @@
 /// Dispatches one call; returns its grant if it gets one at once.
 fn send(dispatcher: &mut DirectDispatcher, call: PendingCall, now: Instant) -> Option<CallGrant> {
     let id = call.id;
-    dispatcher.enqueue(call);
+    dispatcher.enqueue(call, now);
     let grant = granted(&dispatcher.dispatch(now)).pop().map(|(_, grant)| grant);
     dispatcher.cancel(id);
     grant
@@ -233,7 +233,7 @@
     let grants = fill(&mut dispatcher, "team", now);
     // At 70 tokens a millisecond, the objective allows about ten prompts of 2,000 tokens.
     assert_that!(grants.len(), all!(ge(5), le(17)));
-    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now));
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), now);
     assert_that!(dispatcher.dispatch(now), is_empty());
     let later = now + OBJECTIVE;
     assert_that!(
@@ -284,7 +284,7 @@
     let now = Instant::now();
     let mut dispatcher = fleet(&["a"], now);
     fill(&mut dispatcher, "team", now);
-    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now));
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), now);
     let decisions = dispatcher.dispatch(now + OBJECTIVE);
     let Some((_, CallDecision::Refuse { retry_after, .. })) = decisions.first() else {
         panic!("the call was not refused: {decisions:?}");
@@ -298,8 +298,8 @@
     let now = Instant::now();
     let mut dispatcher = fleet(&["a"], now);
     let grants = fill(&mut dispatcher, "flood", now);
-    dispatcher.enqueue(call(1, "flood", prompt(1, 0, 2_000), now));
-    dispatcher.enqueue(call(2, "small", prompt(2, 0, 2_000), now));
+    dispatcher.enqueue(call(1, "flood", prompt(1, 0, 2_000), now), now);
+    dispatcher.enqueue(call(2, "small", prompt(2, 0, 2_000), now), now);
     dispatcher.record_end(grants[0].id, CallOutcome::Completed, false, now);
     let ids: Vec<CallId> =
         granted(&dispatcher.dispatch(now)).into_iter().map(|(id, _)| id).collect();
@@ -406,7 +406,7 @@
     let mut dispatcher = fleet(&["a"], now);
     let leaving = UpstreamEntry { leaving: true, ..entry("model", 128) };
     dispatcher.apply(&ViewChange::Upstream("a".into(), leaving), now);
-    dispatcher.enqueue(call(1, "team", prompt(1, 0, 9), now));
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 9), now), now);
     assert_that!(
         refused(&dispatcher.dispatch(now + OBJECTIVE)),
         elements_are![eq(&(1, RefusalCause::NoUpstream))]
@@ -445,7 +445,8 @@
         let grant = send(&mut dispatcher, suspect, now).expect("the call gets an upstream");
         dispatcher.record_end(grant.id, CallOutcome::Broken, false, now);
     }
-    dispatcher.enqueue(PendingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) });
+    dispatcher
+        .enqueue(PendingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) }, now);
     assert_that!(
         refused(&dispatcher.dispatch(now)),
         elements_are![eq(&(9, RefusalCause::Suspect))]
@@ -475,7 +476,8 @@
     let mut dispatcher = fleet(&["a"], now);
     let peer = PeerReport { suspects: vec![(77, 3)], ..report(1, Vec::new()) };
     dispatcher.record_report(peer, now);
-    dispatcher.enqueue(PendingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) });
+    dispatcher
+        .enqueue(PendingCall { fingerprint: 77, ..call(9, "team", prompt(9, 0, 9), now) }, now);
     assert_that!(
         refused(&dispatcher.dispatch(now)),
         elements_are![eq(&(9, RefusalCause::Suspect))]
@@ -554,19 +556,46 @@
     };
     expect_that!(send(&mut dispatcher, homed(1, &["cymru", "bkk"]), now), some(anything()));
     for (id, homes) in [(2, &["bkk"][..]), (3, &[][..])] {
-        dispatcher.enqueue(homed(id, homes));
+        dispatcher.enqueue(homed(id, homes), now);
         let decisions = dispatcher.dispatch(now + OBJECTIVE);
         expect_that!(refused(&decisions), elements_are![eq(&(id, RefusalCause::NoUpstream))]);
     }
 }
 
+/// Guards against a slow router that takes its own delay for a lack of capacity, so that its team
+/// gets less of the engines than teams at other routers.
+#[gtest]
+fn dispatch_call_delayed_at_router_waits_like_others() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let grants = fill(&mut dispatcher, "flood", now);
+    let delayed = now + Duration::from_millis(90);
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), delayed);
+    assert_that!(dispatcher.dispatch(delayed), is_empty());
+    dispatcher.record_end(grants[0].id, CallOutcome::Completed, false, delayed);
+    assert_that!(granted(&dispatcher.dispatch(delayed)), len(eq(1)));
+}
+
+/// Guards against calls that are sent although the router's own delay alone makes them late.
+#[gtest]
+fn dispatch_call_delayed_past_objective_is_refused() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let grants = fill(&mut dispatcher, "flood", now);
+    dispatcher.record_end(grants[0].id, CallOutcome::Completed, false, now);
+    let delayed = now + OBJECTIVE;
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), delayed);
+    let decisions = dispatcher.dispatch(delayed);
+    assert_that!(refused(&decisions), elements_are![eq(&(1, RefusalCause::NoCapacity))]);
+}
+
 /// Guards against a pending call that keeps candidates of an older view.
 #[gtest]
 fn dispatch_waiting_call_takes_new_upstream() {
     let now = Instant::now();
     let mut dispatcher = fleet(&["a", "b"], now);
     fill(&mut dispatcher, "flood", now);
-    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now));
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), now);
     assert_that!(dispatcher.dispatch(now), is_empty());
     dispatcher.apply(&ViewChange::UpstreamGone("a".into()), now);
     dispatcher.apply(&ViewChange::Upstream("c".into(), entry("model", 128)), now);
@@ -581,7 +610,7 @@
     let now = Instant::now();
     let mut dispatcher = fleet(&["a", "b"], now);
     let grants = fill(&mut dispatcher, "flood", now);
-    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now));
+    dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), now);
     assert_that!(dispatcher.dispatch(now), is_empty());
     for grant in grants.iter().filter(|grant| *grant.upstream == *"b") {
         dispatcher.record_end(grant.id, CallOutcome::Completed, false, now);
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -338,7 +338,7 @@
             tried: Vec::new(),
             charge: BudgetCharge::First,
         };
-        self.routers[router].dispatcher.enqueue(pending);
+        self.routers[router].dispatcher.enqueue(pending, self.now);
         self.calls.insert(id, call);
         self.dispatch(router);
     }
