Measure engines' read rate without the router's own delay

Cause: the rate at which an engine reads prompts is measured from first events. The time ran from the grant on the control thread to the event on the control thread, so it held three turns of the router's own queue. At front-bkk-a-7 the median rate was 32 to 38 tokens a millisecond, at other routers 70 to 99: its engines looked full to it. Change: the time runs on the traffic side, from just before the send to the read of the first event, less the averaged lateness of the router's timers. The line about teams that were turned away has the mean rate. Result: record_first_event_own_delay_keeps_read_rate failed before.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -38,7 +38,6 @@
     queued_tokens: u64,
     held_tokens: u64,
     work: f64,
-    sent: Instant,
     first_event_seen: bool,
 }
 
@@ -104,6 +103,18 @@
         &self.upstreams
     }
 
+    /// Returns the mean rate at which the upstreams with calls of this router read prompts, in
+    /// tokens per millisecond; 0 without such upstreams.
+    pub fn mean_read_rate(&self) -> f64 {
+        let rates: Vec<f64> = self
+            .upstreams
+            .values()
+            .filter(|load| load.own.held_tokens > 0)
+            .map(UpstreamLoad::read_rate)
+            .collect();
+        rates.iter().sum::<f64>() / (rates.len().max(1)) as f64
+    }
+
     /// Returns the reports of the other routers.
     pub fn peers(&self) -> &PeerTable {
         &self.peers
@@ -382,15 +393,15 @@
                 queued_tokens,
                 held_tokens,
                 work: call.work(),
-                sent: now,
                 first_event_seen: false,
             },
         );
         grant
     }
 
-    /// Records the first event of a call's answer.
-    pub fn record_first_event(&mut self, grant: GrantId, now: Instant) {
+    /// Records the first event of a call's answer, `waited` after the call was sent. The event was
+    /// read about `own_delay` after it arrived at the router.
+    pub fn record_first_event(&mut self, grant: GrantId, waited: Duration, own_delay: Duration) {
         let Some(call) = self.grants.get_mut(&grant) else { return };
         if std::mem::replace(&mut call.first_event_seen, true) {
             return;
@@ -398,7 +409,7 @@
         self.changed.insert(&call.upstream);
         if let Some(load) = self.upstreams.get_mut(&call.upstream) {
             load.own.waiting_tokens = load.own.waiting_tokens.saturating_sub(call.uncached_tokens);
-            load.record_first_event(call.queued_tokens, now.duration_since(call.sent));
+            load.record_first_event(call.queued_tokens, waited.saturating_sub(own_delay));
         }
     }
 
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -232,7 +232,7 @@
         self.sends += 1;
         self.tried.push(Arc::clone(&grant.upstream));
         self.log.record_send(&grant);
-        let guard =
+        let mut guard =
             GrantGuard::new(&self.context, grant.id, self.admitted.arrived, self.objective());
         let idle_limit = if self.admitted.route.may_retry() {
             RETRYABLE_IDLE_LIMIT
@@ -252,6 +252,7 @@
         };
         let response_deadline = self.response_deadline();
         let request = self.upstream_request(&grant);
+        guard.record_send();
         let sending = tokio::time::timeout_at(response_deadline.into(), lease.send(request));
         match sending.await {
             Err(_) => {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -142,7 +142,9 @@
                 self.replies.swap_remove(&id);
                 self.dispatcher.cancel(id);
             }
-            ControlEvent::FirstEvent(grant) => self.dispatcher.record_first_event(grant, now),
+            ControlEvent::FirstEvent { grant, waited, own_delay } => {
+                self.dispatcher.record_first_event(grant, waited, own_delay);
+            }
             ControlEvent::Ended { grant, outcome, late } => {
                 if let Some(upstream) = self.dispatcher.record_end(grant, outcome, late, now) {
                     log::warn!(
@@ -270,12 +272,14 @@
         counts.retain(|_, count| count.turned_away() > 0.0);
         counts.sort_by(|_, left, _, right| right.turned_away().total_cmp(&left.turned_away()));
         let level = self.dispatcher.fair_level();
+        let read_rate = self.dispatcher.mean_read_rate().round();
         for (team, count) in counts.iter().take(MAX_LOGGED_TEAMS) {
             let usage = self.dispatcher.fleet_usage(Some(team), now);
             log::info!(
                 team = &**team, asked = count.asked() as u64, sent = count.sent as u64,
                 refused = count.refused as u64, shed = count.shed as u64, usage = usage as u64,
-                level = level.level.round(), fair_fraction = level.fair_fraction(usage);
+                level = level.level.round(), fair_fraction = level.fair_fraction(usage),
+                read_rate = read_rate;
                 "team turned away"
             );
         }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,6 +1,7 @@
 //! Channels between the gateway's tasks and its control thread.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc::error::TrySendError;
@@ -24,8 +25,15 @@
     },
     /// The caller of a pending call left.
     Cancel(CallId),
-    /// The first event of an answer arrived.
-    FirstEvent(GrantId),
+    /// The first event of an answer was read.
+    FirstEvent {
+        /// The grant.
+        grant: GrantId,
+        /// Time since the call was sent.
+        waited: Duration,
+        /// Time for which the event probably lay at this router before it was read.
+        own_delay: Duration,
+    },
     /// A grant ended.
     Ended {
         /// The grant.
--- a/src/gateway/grant_guard.rs
+++ b/src/gateway/grant_guard.rs
@@ -17,6 +17,7 @@
     metrics: Arc<GatewayMetrics>,
     grant: GrantId,
     objective_deadline: Instant,
+    sent_at: Instant,
     first_event_seen: bool,
     late: bool,
     ended: bool,
@@ -35,19 +36,30 @@
             metrics: Arc::clone(&context.metrics),
             grant,
             objective_deadline: arrived + objective,
+            sent_at: Instant::now(),
             first_event_seen: false,
             late: false,
             ended: false,
         }
     }
 
-    /// Reports the first event.
-    pub fn record_first_event(&mut self) {
-        if !self.first_event_seen {
-            self.first_event_seen = true;
-            self.late = Instant::now() > self.objective_deadline;
-            self.send_event(ControlEvent::FirstEvent(self.grant));
-        }
+    /// Records that the call is being sent.
+    pub fn record_send(&mut self) {
+        self.sent_at = Instant::now();
+    }
+
+    /// Returns whether the first event was reported.
+    pub fn first_event_seen(&self) -> bool {
+        self.first_event_seen
+    }
+
+    /// Reports the first event, which lay at this router for about `own_delay`.
+    pub fn record_first_event(&mut self, own_delay: Duration) {
+        let now = Instant::now();
+        self.first_event_seen = true;
+        self.late = now > self.objective_deadline;
+        let waited = now.duration_since(self.sent_at);
+        self.send_event(ControlEvent::FirstEvent { grant: self.grant, waited, own_delay });
     }
 
     /// Reports the end.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -109,8 +109,11 @@
     }
 
     fn record_events(&mut self) {
-        if let Some(stream) = &mut self.stream {
-            stream.guard.record_first_event();
+        if let Some(stream) = &mut self.stream
+            && !stream.guard.first_event_seen()
+        {
+            let own_delay = self.run.context().admission.control().detector().lateness();
+            stream.guard.record_first_event(own_delay);
         }
         if !self.first_event_seen {
             self.first_event_seen = true;
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -589,6 +589,28 @@
     assert_that!(refused(&decisions), elements_are![eq(&(1, RefusalCause::NoCapacity))]);
 }
 
+/// Guards against a slow router that takes its own delay in reading answers for slow engines, and
+/// then finds no capacity at engines that take calls of all other routers.
+#[gtest]
+fn record_first_event_own_delay_keeps_read_rate() {
+    let now = Instant::now();
+    let rate_after = |waited: u64, own_delay: u64| {
+        let mut dispatcher = fleet(&["a"], now);
+        for id in 1..50 {
+            let grant = send(&mut dispatcher, call(id, "team", prompt(id, 0, 4_000), now), now);
+            let grant = grant.expect("the engine is idle").id;
+            let (waited, own_delay) =
+                (Duration::from_millis(waited), Duration::from_millis(own_delay));
+            dispatcher.record_first_event(grant, waited, own_delay);
+            dispatcher.record_end(grant, CallOutcome::Completed, false, now);
+        }
+        dispatcher.upstreams()["a"].read_rate()
+    };
+    let in_time = rate_after(90, 0);
+    expect_that!(rate_after(190, 100), near(in_time, 0.01));
+    expect_that!(rate_after(190, 0), lt(0.5 * in_time));
+}
+
 /// Guards against a pending call that keeps candidates of an older view.
 #[gtest]
 fn dispatch_waiting_call_takes_new_upstream() {
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -124,8 +124,8 @@
     Arrival { router: usize, call: SimulatedCall },
     Retry { call: SimulatedCall },
     Admitted { router: usize, call: SimulatedCall, arrived: Instant },
-    FirstEvent { router: usize, grant: GrantId },
-    FirstEventRead { router: usize, grant: GrantId },
+    FirstEvent { router: usize, grant: GrantId, sent_at: Instant },
+    FirstEventRead { router: usize, grant: GrantId, sent_at: Instant },
     End { router: usize, grant: GrantId },
     Tick,
     DeadlineTick,
@@ -228,13 +228,16 @@
                 self.admit(router, call);
             }
             FleetEvent::Admitted { router, call, arrived } => self.enqueue(router, call, arrived),
-            FleetEvent::FirstEvent { router, grant } => {
+            FleetEvent::FirstEvent { router, grant, sent_at } => {
                 let delay = self.process(router, ANSWER_PROCESSOR_TIME);
-                self.schedule(delay, FleetEvent::FirstEventRead { router, grant });
+                self.schedule(delay, FleetEvent::FirstEventRead { router, grant, sent_at });
                 self.schedule(delay + ANSWER_TIME, FleetEvent::End { router, grant });
             }
-            FleetEvent::FirstEventRead { router, grant } => {
-                self.routers[router].dispatcher.record_first_event(grant, self.now);
+            FleetEvent::FirstEventRead { router, grant, sent_at } => {
+                let waited = self.now - sent_at;
+                let state = &mut self.routers[router];
+                let own_delay = state.control.detector().lateness();
+                state.dispatcher.record_first_event(grant, waited, own_delay);
                 self.dispatch(router);
             }
             FleetEvent::End { router, grant } => {
@@ -363,7 +366,8 @@
         let reading = Duration::from_secs_f64(f64::from(tokens) / ENGINE_RATE);
         engine.busy_until = engine.busy_until.max(self.now) + reading;
         let delay = engine.busy_until - self.now;
-        self.schedule(delay, FleetEvent::FirstEvent { router, grant });
+        let sent_at = self.now;
+        self.schedule(delay, FleetEvent::FirstEvent { router, grant, sent_at });
     }
 
     /// Samples the load of all routers and exchanges their reports.
