Take the memory of buffered answers from the memory for calls

Cause: an answer that is passed on in one piece, and an event of a stream, were buffered up to 8 MiB and 1 MiB for each call, beside the memory that the settings leave for calls. Change: a buffered answer beyond the 16 KiB that its call covers takes its memory from the same pool as calls; without memory left it fails like a broken answer. Result: endless_body_fails_call fails before and passes after. Heads without end, interim heads, bytes that are no HTTP, and bytes after a whole answer were handled before; they have tests now.

--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
@@ -14,6 +14,8 @@
     AnswerMetadata, CallCodec, CallMetadata, ForwardedCall, GatewayAdapter, GatewayRefusal,
 };
 use super::admit::CALL_MEMORY_UNITS;
+use super::answer_body::collect_answer;
+use super::buffer_memory::BufferMemory;
 use super::call_log::CallLog;
 use super::event_frames::EventFrames;
 use super::events::ControlEvent;
@@ -34,9 +36,6 @@
 /// Maximum number of sends of one call, including those that reached no upstream.
 const MAX_SENDS: u32 = 5;
 
-/// Maximum size of an answer that is buffered, in bytes.
-const MAX_BUFFERED_ANSWER: usize = 8 << 20;
-
 /// Idle time after which a connection is not reused for a call that may run only once: if the
 /// upstream has just closed it, it would stay unknown whether the call ran.
 const AT_MOST_ONCE_IDLE_LIMIT: Duration = Duration::from_millis(1500);
@@ -315,7 +314,8 @@
             let stream = RunningStream { guard, lease, body, frames, grant, metadata, run };
             return AttemptOutcome::Stream(head, Box::new(stream));
         }
-        let collecting = Limited::new(body, MAX_BUFFERED_ANSWER).collect();
+        let mut memory = BufferMemory::new(Arc::clone(&self.context.memory));
+        let collecting = collect_answer(body, &mut memory);
         let body = match tokio::time::timeout_at(self.final_deadline().into(), collecting).await {
             Err(_) => {
                 guard.end(CallOutcome::Silent);
@@ -329,7 +329,7 @@
                 guard.end(CallOutcome::Broken);
                 return AttemptOutcome::Failed(call.executed(), None);
             }
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Ok(body)) => body,
         };
         self.context.pool.release(lease, grant.address, metadata.idle_limit);
         self.classify_answer(call, guard, &metadata, head, body)
--- a/src/gateway/event_frames.rs
+++ b/src/gateway/event_frames.rs
@@ -53,6 +53,11 @@
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
     }
+
+    /// Returns the number of bytes that are buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.len()
+    }
 }
 
 /// Returns the position after the last empty line.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 
 mod adapter;
 mod admit;
+mod answer_body;
+mod buffer_memory;
 mod call_log;
 mod call_run;
 mod caller;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,15 +1,19 @@
 //! Relays an event stream to the caller, and resumes it at another upstream when it breaks and its
 //! route allows that.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
 use futures::stream;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 
 use super::adapter::{GatewayAdapter, GatewayRefusal};
+use super::buffer_memory::{BufferMemory, MemoryExhausted};
 use super::call_run::{AttemptOutcome, CallRun, RunningStream};
+use super::event_frames::{EventFrames, OversizedEvent};
 use crate::decision::direct::{BudgetCharge, CallOutcome};
 use crate::lifecycle::call::ExecutedCall;
 
@@ -41,17 +45,41 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Why the bytes of a stream were not buffered.
+#[derive(Debug, Display, Error, From)]
+enum BufferError {
+    /// An event exceeds the limit.
+    #[display("{_0}")]
+    Oversized(OversizedEvent),
+    /// The memory for calls is used up.
+    #[display("{_0}")]
+    NoMemory(MemoryExhausted),
+}
+
+/// Buffers bytes of a stream until their events are complete.
+fn buffer_events(
+    frames: &mut EventFrames,
+    memory: &mut BufferMemory,
+    data: &[u8],
+) -> Result<(), BufferError> {
+    frames.push(data)?;
+    memory.cover(frames.buffered_bytes())?;
+    Ok(())
+}
+
 /// An event stream that is being relayed.
 pub struct RelayStream<A: GatewayAdapter> {
     run: CallRun<A>,
     stream: Option<RunningStream>,
+    memory: BufferMemory,
     first_event_seen: bool,
 }
 
 impl<A: GatewayAdapter> RelayStream<A> {
     /// Starts to relay a stream.
     pub(super) fn new(run: CallRun<A>, stream: RunningStream) -> Self {
-        Self { run, stream: Some(stream), first_event_seen: false }
+        let memory = BufferMemory::new(Arc::clone(&run.context().memory));
+        Self { run, stream: Some(stream), memory, first_event_seen: false }
     }
 
     /// Stops the relay and returns the run of the call.
@@ -86,11 +114,12 @@
             match frame {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    if let Err(error) = stream.frames.push(&data) {
+                    if let Err(error) = buffer_events(&mut stream.frames, &mut self.memory, &data) {
                         log::warn!(id = self.run.id(); "stream aborted: {error}");
                         return self.resume_or_fail().await;
                     }
                     if let Some(events) = stream.frames.take_complete() {
+                        self.memory.release();
                         self.record_events();
                         return Some(Ok(events));
                     }
@@ -142,6 +171,7 @@
     /// Resumes the stream at another upstream; returns an error when that fails.
     async fn resume_or_fail(&mut self) -> Option<Result<Bytes, RelayError>> {
         let stream = self.stream.take()?;
+        self.memory.release();
         log::warn!(
             id = self.run.id(), upstream = &*stream.grant.upstream,
             last_event = stream.frames.last_id().unwrap_or("none"); "stream broke"
