Go on with a stream that was resumed after an oversized event

Seen: a resumable stream ended as if it were complete after its first event, when its upstream sent an event without end and another upstream took the stream over. Cause: after an oversized event the relay returned the result of the resumption, where nothing stands for a success, and the caller's stream took that for its end. Change: the relay reads on after a successful resumption, as it does after a broken connection. Result: endless_event_resumes_elsewhere got 1 event of 3 before, and 3 after.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -116,9 +116,10 @@
                     let Ok(data) = frame.into_data() else { continue };
                     if let Err(error) = buffer_events(&mut stream.frames, &mut self.memory, &data) {
                         log::warn!(id = self.run.id(); "stream aborted: {error}");
-                        return self.resume_or_fail().await;
-                    }
-                    if let Some(events) = stream.frames.take_complete() {
+                        if let Some(ended) = self.resume_or_fail().await {
+                            return Some(ended);
+                        }
+                    } else if let Some(events) = stream.frames.take_complete() {
                         self.memory.release();
                         self.record_events();
                         return Some(Ok(events));
