Count three turns of the router's own queue in a first event's wait

Cause: the lateness of a timer is one turn of the router's task queue, but a call's send, the read of its connection and the relay of its first event each wait for one. Change: the read rate leaves out three times the averaged lateness.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,10 @@
 use crate::decision::direct::{BudgetCharge, CallOutcome};
 use crate::lifecycle::call::ExecutedCall;
 
+/// Times that a call and its first event wait for their turn among the router's tasks: the send,
+/// the read of the connection and the relay.
+const QUEUE_TURNS: u32 = 3;
+
 /// Body of a response to a caller.
 pub type AnswerBody = UnsyncBoxBody<Bytes, RelayError>;
 
@@ -142,8 +146,8 @@
         if let Some(stream) = &mut self.stream
             && !stream.guard.first_event_seen()
         {
-            let own_delay = self.run.context().admission.control().detector().lateness();
-            stream.guard.record_first_event(own_delay);
+            let lateness = self.run.context().admission.control().detector().lateness();
+            stream.guard.record_first_event(lateness * QUEUE_TURNS);
         }
         if !self.first_event_seen {
             self.first_event_seen = true;
