Shed callers at one and a half times the sustained rate

Cause: callers were shed at twice the sustained rate, which a flood reaches only after a second of retries. Change: at one and a half times.

--- a/src/decision/direct/overload.rs
+++ b/src/decision/direct/overload.rs
@@ -28,7 +28,7 @@
 const RECOVERED_CONNECTIONS: f64 = 0.5;
 
 /// Demand at which overload begins and may end, as a fraction of the sustainable rate.
-const OVERLOADED_DEMAND: f64 = 2.0;
+const OVERLOADED_DEMAND: f64 = 1.5;
 const RECOVERED_DEMAND: f64 = 0.6;
 
 /// Shortest and longest time for which callers are shed. It doubles on each relapse: a relapse
