Keep the count of teams' work, its log and the simulated fleet's plan apart

Cause: the dispatcher and the control thread had grown by a second job each; the simulated fleet repeated values of the tests of the direct path. Change: team_work.rs counts, work_log.rs logs; tests share fleet_plan.rs and direct_path.rs. No behaviour changes.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -11,8 +11,8 @@
 use super::load::UpstreamLoad;
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
 use super::suspects::{CRASH_LIMIT, SuspectList};
-use super::team_service::{ServiceCount, TeamService};
 use super::team_usage::{FairLevel, TeamUsage};
+use super::team_work::TeamWork;
 use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
@@ -57,7 +57,7 @@
     grants: IndexMap<GrantId, GrantedCall>,
     next_grant: GrantId,
     teams: TeamUsage,
-    service: TeamService,
+    work: TeamWork,
     pub(super) work_rate: Option<f64>,
     pub(super) fair_level: FairLevel,
     peer_usage: IndexMap<TeamId, f64>,
@@ -87,7 +87,7 @@
             grants: IndexMap::new(),
             next_grant: 1,
             teams: TeamUsage::default(),
-            service: TeamService::default(),
+            work: TeamWork::default(),
             work_rate: None,
             fair_level: FairLevel::default(),
             peer_usage: IndexMap::new(),
@@ -112,7 +112,7 @@
             .filter(|load| load.own.held_tokens > 0)
             .map(UpstreamLoad::read_rate)
             .collect();
-        rates.iter().sum::<f64>() / (rates.len().max(1)) as f64
+        rates.iter().sum::<f64>() / rates.len().max(1) as f64
     }
 
     /// Returns the reports of the other routers.
@@ -247,7 +247,7 @@
         for (_, mut waiting) in calls {
             match self.decide(&mut waiting, now) {
                 Some(decision) => {
-                    self.count_service(&waiting.call, &decision);
+                    self.work.record_decision(&waiting.call, &decision);
                     decisions.push((waiting.call.id, decision));
                 }
                 None => self.waiting.push(waiting),
@@ -256,29 +256,9 @@
         decisions
     }
 
-    /// Counts the work of a call by the first decision about it.
-    fn count_service(&mut self, call: &PendingCall, decision: &CallDecision) {
-        let (Some(team), BudgetCharge::First) = (&call.team, call.charge) else { return };
-        let work = call.work();
-        let count = match decision {
-            CallDecision::Send(_) => ServiceCount { sent: work, ..ServiceCount::default() },
-            CallDecision::Refuse { .. } => {
-                ServiceCount { refused: work, ..ServiceCount::default() }
-            }
-        };
-        self.service.add(team, count);
-    }
-
-    /// Adds the work of calls that were refused before they reached the dispatcher.
-    pub fn record_shed(&mut self, shed: &IndexMap<TeamId, f64>) {
-        for (team, work) in shed {
-            self.service.add(team, ServiceCount { shed: *work, ..ServiceCount::default() });
-        }
-    }
-
-    /// Returns what became of the work that each team asked for since the last call.
-    pub fn take_service(&mut self) -> IndexMap<TeamId, ServiceCount> {
-        self.service.take()
+    /// Returns the work that the teams asked this router for.
+    pub fn work_mut(&mut self) -> &mut TeamWork {
+        &mut self.work
     }
 
     /// Returns the max-min fair level of the teams' usage.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -14,6 +14,7 @@
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
 use super::observe::GatewayMetrics;
 use super::settings::GatewaySettings;
+use super::work_log::WorkLog;
 use crate::decision::direct::{
     CallDecision, CallOutcome, DirectDispatcher, PeerReport, StageChange, TrialStage, trial_counts,
 };
@@ -37,12 +38,6 @@
 /// Time for which a peer's view must be ahead before it is fetched.
 const MAX_BEHIND_TIME: Duration = Duration::from_millis(250);
 
-/// Time between two log lines about a team that was turned away.
-const SERVICE_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Maximum number of teams that these lines name at a time.
-const MAX_LOGGED_TEAMS: usize = 8;
-
 /// Current route table for the traffic tasks; `None` until a configuration is known.
 pub type TableWatch = watch::Receiver<Option<Arc<RouteTable>>>;
 
@@ -103,7 +98,7 @@
     members: IndexMap<NodeId, MemberEntry>,
     sequence: u64,
     last_report: Option<Instant>,
-    last_service_log: Option<Instant>,
+    work_log: WorkLog,
     behind_since: Option<Instant>,
     leaving: bool,
 }
@@ -125,7 +120,7 @@
             members: IndexMap::new(),
             sequence: 0,
             last_report: None,
-            last_service_log: None,
+            work_log: WorkLog::default(),
             behind_since: None,
             leaving: false,
         }
@@ -153,7 +148,7 @@
                     );
                 }
             }
-            ControlEvent::Shed(shed) => self.dispatcher.record_shed(&shed),
+            ControlEvent::Shed(shed) => self.dispatcher.work_mut().record_shed(&shed),
             ControlEvent::View(batch) => {
                 let changes = self.view.apply(batch);
                 self.apply_changes(changes, "store", now);
@@ -250,41 +245,13 @@
         self.evaluate_moves(now);
         self.fetch_newer_view(now);
         self.send_report(now);
-        self.log_service(now);
         let metrics = &self.context.metrics;
+        self.work_log.update(&mut self.dispatcher, metrics, now);
         metrics.waiting.set(i64::try_from(self.dispatcher.waiting()).unwrap_or(i64::MAX));
         metrics.granted.set(i64::try_from(self.dispatcher.granted()).unwrap_or(i64::MAX));
         metrics.routers.set(i64::from(self.dispatcher.peers().router_count(now)));
     }
 
-    /// Counts what the teams asked for and logs the teams that were turned away most, with what
-    /// decided about them.
-    fn log_service(&mut self, now: Instant) {
-        if self.last_service_log.is_some_and(|last| now.duration_since(last) < SERVICE_LOG_INTERVAL)
-        {
-            return;
-        }
-        self.last_service_log = Some(now);
-        let mut counts = self.dispatcher.take_service();
-        for (team, count) in &counts {
-            self.context.metrics.count_service(team, *count);
-        }
-        counts.retain(|_, count| count.turned_away() > 0.0);
-        counts.sort_by(|_, left, _, right| right.turned_away().total_cmp(&left.turned_away()));
-        let level = self.dispatcher.fair_level();
-        let read_rate = self.dispatcher.mean_read_rate().round();
-        for (team, count) in counts.iter().take(MAX_LOGGED_TEAMS) {
-            let usage = self.dispatcher.fleet_usage(Some(team), now);
-            log::info!(
-                team = &**team, asked = count.asked() as u64, sent = count.sent as u64,
-                refused = count.refused as u64, shed = count.shed as u64, usage = usage as u64,
-                level = level.level.round(), fair_fraction = level.fair_fraction(usage),
-                read_rate = read_rate;
-                "team turned away"
-            );
-        }
-    }
-
     /// Fetches the view of a peer that has been ahead for a while, in case this router cannot reach
     /// the store.
     fn fetch_newer_view(&mut self, now: Instant) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod settings;
 mod tracked_body;
+mod work_log;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::decision::direct::ServiceCount;
+use crate::decision::direct::WorkCount;
 use crate::ids::TeamId;
 
 /// Labels of the counters of calls and sends.
@@ -140,7 +140,7 @@
     }
 
     /// Counts the work of a team's calls.
-    pub fn count_service(&self, team: &TeamId, count: ServiceCount) {
+    pub fn count_work(&self, team: &TeamId, count: WorkCount) {
         let outcomes = [("sent", count.sent), ("refused", count.refused), ("shed", count.shed)];
         for (outcome, tokens) in outcomes {
             if tokens > 0.0 {
--- /dev/null
+++ b/src/gateway/work_log.rs
@@ -0,0 +1,52 @@
+//! Metrics and log lines about what became of each team's work.
+
+use std::time::{Duration, Instant};
+
+use super::observe::GatewayMetrics;
+use crate::decision::direct::DirectDispatcher;
+
+/// Time between two updates.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of teams that one update logs.
+const MAX_LOGGED_TEAMS: usize = 8;
+
+/// Logs the teams that were turned away, once a second.
+#[derive(Debug, Default)]
+pub struct WorkLog {
+    updated_at: Option<Instant>,
+}
+
+impl WorkLog {
+    /// When an update is due, adds the teams' work to the metrics and logs the teams that were
+    /// turned away most, with the values that decided about their calls.
+    pub fn update(
+        &mut self,
+        dispatcher: &mut DirectDispatcher,
+        metrics: &GatewayMetrics,
+        now: Instant,
+    ) {
+        if self.updated_at.is_some_and(|updated_at| now.duration_since(updated_at) < INTERVAL) {
+            return;
+        }
+        self.updated_at = Some(now);
+        let mut counts = dispatcher.work_mut().take();
+        for (team, count) in &counts {
+            metrics.count_work(team, *count);
+        }
+        counts.retain(|_, count| count.turned_away() > 0.0);
+        counts.sort_by(|_, left, _, right| right.turned_away().total_cmp(&left.turned_away()));
+        let level = dispatcher.fair_level();
+        let read_rate = dispatcher.mean_read_rate().round();
+        for (team, count) in counts.iter().take(MAX_LOGGED_TEAMS) {
+            let usage = dispatcher.fleet_usage(Some(team), now);
+            log::info!(
+                team = &**team, asked = count.asked() as u64, sent = count.sent as u64,
+                refused = count.refused as u64, shed = count.shed as u64, usage = usage as u64,
+                level = level.level.round(), fair_fraction = level.fair_fraction(usage),
+                read_rate = read_rate;
+                "team turned away"
+            );
+        }
+    }
+}
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -4,31 +4,21 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use godwitcrank::decision::direct::{
-    BudgetCharge, CallDecision, CallGrant, CallOutcome, DirectDispatcher, FleetBounds, PeerLoad,
-    PeerReport, PendingCall, PromptPart, PromptShape, RefusalCause,
+    BudgetCharge, CallDecision, CallGrant, CallOutcome, DirectDispatcher, PeerLoad, PeerReport,
+    PendingCall, PromptPart, PromptShape, RefusalCause,
 };
 use godwitcrank::ids::{CallId, DataCentreId, RegionId, UpstreamId};
-use godwitcrank::routing::{
-    CallerLimits, RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange,
-};
+use godwitcrank::routing::{RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
+use super::support::direct_path::{caller_limits, fleet_bounds};
+
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
 /// Rate that the platform states for a cold upstream; the bound adds a factor and some slack.
 const COLD_RATE: f64 = 20.0;
 
-fn bounds() -> FleetBounds {
-    FleetBounds {
-        retry_ratio: 0.2,
-        retry_window: Duration::from_secs(10),
-        retry_slack: 10.0,
-        cold_factor: 1.5,
-        cold_slack: 5.0,
-    }
-}
-
 /// All upstreams of these tests are in `caerdydd`, which is in region `cymru`.
 fn regions() -> IndexMap<DataCentreId, RegionId> {
     [("caerdydd".into(), "cymru".into()), ("bkk-a".into(), "bkk".into())].into()
@@ -47,12 +37,7 @@
         routes: Vec::new(),
         services: vec![service("model", Some(300_000)), service("booking", None)],
         teams: Vec::new(),
-        limits: CallerLimits {
-            head_bytes: 16_384,
-            body_bytes: 1 << 20,
-            head_time: Duration::from_secs(3),
-            idle_time: Duration::from_secs(15),
-        },
+        limits: caller_limits(),
         work_rate,
     }))
 }
@@ -73,7 +58,7 @@
 /// Creates a dispatcher with two peers and the given upstreams of the service `model`.
 fn fleet(upstreams: &[&str], now: Instant) -> DirectDispatcher {
     let mut dispatcher =
-        DirectDispatcher::new("router-1".into(), "caerdydd".into(), regions(), bounds());
+        DirectDispatcher::new("router-1".into(), "caerdydd".into(), regions(), fleet_bounds());
     dispatcher.apply(&configuration(None), now);
     for id in upstreams {
         dispatcher.apply(&ViewChange::Upstream((*id).into(), entry("model", 128)), now);
@@ -191,7 +176,7 @@
         let mut chosen = Vec::new();
         for node in ["router-1", "router-2"] {
             let mut dispatcher =
-                DirectDispatcher::new(node.into(), "caerdydd".into(), regions(), bounds());
+                DirectDispatcher::new(node.into(), "caerdydd".into(), regions(), fleet_bounds());
             dispatcher.apply(&configuration(None), now);
             for id in ["a", "b", "c", "d", "e"] {
                 dispatcher.apply(&ViewChange::Upstream(id.into(), entry("model", 128)), now);
--- a/tests/testsuite/fair_margin.rs
+++ b/tests/testsuite/fair_margin.rs
@@ -10,7 +10,8 @@
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
-use super::support::router_fleet::{FleetPlan, RouterFleet, SimulatedTeam, TeamRecord};
+use super::support::fleet_plan::{FleetPlan, SimulatedTeam, TeamRecord};
+use super::support::router_fleet::RouterFleet;
 
 /// Length of the rule's window, in seconds.
 const WINDOW_SECONDS: usize = 6;
--- /dev/null
+++ b/tests/testsuite/support/fleet_plan.rs
@@ -0,0 +1,96 @@
+//! Plan of a simulated fleet, and what its teams got.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use godwitcrank::decision::direct::DirectDispatcher;
+use godwitcrank::ids::TeamId;
+use godwitcrank::routing::{RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange};
+use indexmap::IndexMap;
+
+use super::direct_path::{caller_limits, fleet_bounds};
+
+/// A team and its callers.
+#[derive(Clone, Debug)]
+pub struct SimulatedTeam {
+    /// Name of the team.
+    pub name: TeamId,
+    /// Calls per second.
+    pub rate: f64,
+    /// Index of the router that all its callers meet; `None` when they meet any.
+    pub home: Option<usize>,
+}
+
+/// Routers, engines and teams of a simulation.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Fraction of a processor core of each router.
+    pub routers: Vec<f64>,
+    /// Number of engines.
+    pub engines: usize,
+    /// Rate that the configuration states for all engines, in tokens per second.
+    pub stated_rate: f64,
+    /// The teams.
+    pub teams: Vec<SimulatedTeam>,
+    /// Simulated time.
+    pub length: Duration,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// Work that a team asked for and got in each second, in tokens. A call counts once as asked, and
+/// as got in the second in which it is sent.
+#[derive(Clone, Debug, Default)]
+pub struct TeamRecord {
+    /// Work asked for, by second.
+    pub asked: Vec<f64>,
+    /// Work got, by second.
+    pub got: Vec<f64>,
+}
+
+/// Creates the dispatcher of a router, with all engines and no peers.
+pub fn dispatcher(index: usize, plan: &FleetPlan, now: Instant) -> DirectDispatcher {
+    let mut dispatcher = DirectDispatcher::new(
+        format!("router-{index}").into(),
+        "caerdydd".into(),
+        IndexMap::new(),
+        fleet_bounds(),
+    );
+    dispatcher.apply(&configuration(plan.stated_rate), now);
+    for engine in 0..plan.engines {
+        let change = ViewChange::Upstream(format!("engine-{engine}").into(), engine_entry());
+        dispatcher.apply(&change, now);
+    }
+    dispatcher.set_members(plan.routers.len() as u32);
+    dispatcher
+}
+
+fn configuration(stated_rate: f64) -> ViewChange {
+    ViewChange::Configuration(Arc::new(RouteConfiguration {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![ServiceEntry {
+            name: "model".into(),
+            connection_limit: 10_000,
+            cold_period: Duration::ZERO,
+            cold_rate: 0.0,
+            memory_tokens: Some(10_000_000),
+        }],
+        teams: Vec::new(),
+        limits: caller_limits(),
+        work_rate: Some(stated_rate),
+    }))
+}
+
+fn engine_entry() -> UpstreamEntry {
+    UpstreamEntry {
+        service: "model".into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "caerdydd".into(),
+        version: "v1".into(),
+        slots: 128,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        started: None,
+    }
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -22,7 +22,9 @@
 //! - All processes are killed when the fleet is dropped. If the test panics, the folder with
 //!   settings and logs is kept and its path is printed.
 
+pub mod direct_path;
 pub mod extra_upstream;
+pub mod fleet_plan;
 pub mod operator;
 pub mod router_fleet;
 
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -7,21 +7,19 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    BudgetCharge, CallDecision, CallOutcome, DirectDispatcher, FleetBounds, OverloadControl,
-    PeerReport, PendingCall, PromptPart, PromptShape, call_work,
+    BudgetCharge, CallDecision, CallOutcome, DirectDispatcher, OverloadControl, PeerReport,
+    PendingCall, PromptPart, PromptShape, call_work,
 };
 use godwitcrank::ids::{CallId, GrantId, TeamId};
-use godwitcrank::routing::{
-    CallerLimits, RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange,
-};
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::fleet_plan::{FleetPlan, TeamRecord, dispatcher};
+
 /// Processor time of a call on a whole core until it is dispatched, of its answer, and of a call
 /// that is refused for overload.
 const CALL_PROCESSOR_TIME: Duration = Duration::from_micros(120);
@@ -57,44 +55,6 @@
 const OBJECTIVE: Duration = Duration::from_millis(500);
 const DEADLINE: Duration = Duration::from_secs(5);
 
-/// A team and its callers.
-#[derive(Clone, Debug)]
-pub struct SimulatedTeam {
-    /// Name of the team.
-    pub name: TeamId,
-    /// Calls per second.
-    pub rate: f64,
-    /// Index of the router that all its callers meet; `None` when they meet any.
-    pub home: Option<usize>,
-}
-
-/// Routers, engines and teams of a simulation.
-#[derive(Clone, Debug)]
-pub struct FleetPlan {
-    /// Fraction of a processor core of each router.
-    pub routers: Vec<f64>,
-    /// Number of engines.
-    pub engines: usize,
-    /// Rate that the configuration states for all engines, in tokens per second.
-    pub stated_rate: f64,
-    /// The teams.
-    pub teams: Vec<SimulatedTeam>,
-    /// Simulated time.
-    pub length: Duration,
-    /// Seed of the arrivals.
-    pub seed: u64,
-}
-
-/// Work that a team asked for and got in each second, in tokens. A call counts once as asked, and
-/// as got in the second in which it is sent.
-#[derive(Clone, Debug, Default)]
-pub struct TeamRecord {
-    /// Work asked for, by second.
-    pub asked: Vec<f64>,
-    /// Work got, by second.
-    pub got: Vec<f64>,
-}
-
 #[derive(Debug)]
 struct SimulatedRouter {
     processor_share: f64,
@@ -417,61 +377,3 @@
         self.now.duration_since(self.start).as_secs() as usize
     }
 }
-
-fn dispatcher(index: usize, plan: &FleetPlan, now: Instant) -> DirectDispatcher {
-    let bounds = FleetBounds {
-        retry_ratio: 0.2,
-        retry_window: Duration::from_secs(10),
-        retry_slack: 10.0,
-        cold_factor: 1.5,
-        cold_slack: 5.0,
-    };
-    let mut dispatcher = DirectDispatcher::new(
-        format!("router-{index}").into(),
-        "caerdydd".into(),
-        IndexMap::new(),
-        bounds,
-    );
-    dispatcher.apply(&configuration(plan.stated_rate), now);
-    for engine in 0..plan.engines {
-        let change = ViewChange::Upstream(format!("engine-{engine}").into(), engine_entry());
-        dispatcher.apply(&change, now);
-    }
-    dispatcher.set_members(plan.routers.len() as u32);
-    dispatcher
-}
-
-fn configuration(stated_rate: f64) -> ViewChange {
-    ViewChange::Configuration(Arc::new(RouteConfiguration {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![ServiceEntry {
-            name: "model".into(),
-            connection_limit: 10_000,
-            cold_period: Duration::ZERO,
-            cold_rate: 0.0,
-            memory_tokens: Some(10_000_000),
-        }],
-        teams: Vec::new(),
-        limits: CallerLimits {
-            head_bytes: 16_384,
-            body_bytes: 1 << 20,
-            head_time: Duration::from_secs(3),
-            idle_time: Duration::from_secs(15),
-        },
-        work_rate: Some(stated_rate),
-    }))
-}
-
-fn engine_entry() -> UpstreamEntry {
-    UpstreamEntry {
-        service: "model".into(),
-        address: ([127, 0, 0, 1], 9000).into(),
-        data_centre: "caerdydd".into(),
-        version: "v1".into(),
-        slots: 128,
-        leaving: false,
-        cold_left: Duration::ZERO,
-        started: None,
-    }
-}
