--- a/src/decision/direct/overload.rs
+++ b/src/decision/direct/overload.rs
@@ -64,18 +64,18 @@
 
     /// Charges a call, or its refusal; returns whether the call is admitted.
     pub fn try_admit(&mut self, now: Instant) -> bool {
-        let has_budget = self.has_budget(1.0, now);
+        let has_budget = self.has_budget(now);
         let cost = if has_budget { 1.0 } else { REFUSAL_COST };
         self.budget = (self.budget - cost).max(0.0);
         has_budget
     }
 
-    /// Refills the bucket and returns whether it holds as many calls.
-    pub fn has_budget(&mut self, calls: f64, now: Instant) -> bool {
+    /// Refills the bucket and returns whether it holds another call.
+    pub fn has_budget(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.budget = (self.budget + passed * self.rate).min(burst(self.rate));
         self.refilled = now;
-        self.budget >= calls
+        self.budget >= 1.0
     }
 }
 
--- a/src/decision/direct/overload_control.rs
+++ b/src/decision/direct/overload_control.rs
@@ -5,11 +5,6 @@
 use super::overload::{CallLimiter, LoadSample, OverloadDetector, REFUSAL_COST, SAMPLE_WEIGHT};
 use super::sustainable_rate::SustainableRate;
 
-/// Calls for which the limit must leave room before a new connection is served. Under overload most
-/// new connections are those of refused callers that try again, and a closed connection takes less
-/// processor time than a refused call.
-const CALLS_PER_NEW_CONNECTION: f64 = 5.0;
-
 /// Limits the calls of a router to what its own samples show that it sustains.
 #[derive(Debug)]
 pub struct OverloadControl {
@@ -59,7 +54,7 @@
 
     /// Returns whether a new connection may be served; only limited under overload.
     pub fn can_accept_connection(&mut self, now: Instant) -> bool {
-        !self.limiting || self.limiter.has_budget(CALLS_PER_NEW_CONNECTION, now)
+        !self.limiting || self.limiter.has_budget(now)
     }
 
     /// Records how late a timer fired `interval` after the last one, and the fraction of the
