--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -18,6 +18,7 @@
 mod team_usage;
 mod team_work;
 mod version_trial;
+mod view_freshness;
 mod waiting;
 mod window;
 
@@ -35,4 +36,5 @@
 pub use team_usage::{FairLevel, TeamUsage};
 pub use team_work::{TeamWork, WorkCount};
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
+pub use view_freshness::ViewFreshness;
 pub use window::{RetryBudget, SlidingCounter};
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -14,12 +14,14 @@
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
 use super::observe::GatewayMetrics;
 use super::settings::GatewaySettings;
+use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, DirectDispatcher, PeerReport, StageChange, TrialStage, trial_counts,
+    CallDecision, CallOutcome, DirectDispatcher, PeerReport, StageChange, TrialStage,
+    ViewFreshness, trial_counts,
 };
-use crate::ids::{CallId, Incarnation, NodeId};
-use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
+use crate::ids::{CallId, Incarnation, NodeId, StoreRevision};
+use crate::routing::{FleetView, RouteTable, ViewBatch, ViewChange, ViewPart};
 use crate::supervisor::{ControlInbox, StopSignal};
 
 /// Minimum time between two reports to peers.
@@ -93,6 +95,7 @@
 struct ControlState {
     context: ControlContext,
     view: FleetView,
+    freshness: ViewFreshness,
     dispatcher: DirectDispatcher,
     replies: IndexMap<CallId, oneshot::Sender<CallDecision>>,
     members: IndexMap<NodeId, MemberEntry>,
@@ -115,6 +118,7 @@
         Self {
             context,
             view: FleetView::default(),
+            freshness: ViewFreshness::default(),
             dispatcher,
             replies: IndexMap::new(),
             members: IndexMap::new(),
@@ -149,14 +153,17 @@
                 }
             }
             ControlEvent::Shed(shed) => self.dispatcher.work_mut().record_shed(&shed),
-            ControlEvent::View(batch) => {
-                let changes = self.view.apply(batch);
-                self.apply_changes(changes, "store", now);
+            ControlEvent::View { batch, confirmed_at } => {
+                self.apply_batch(batch, confirmed_at, now)
+            }
+            ControlEvent::Unchanged { part, revision, confirmed_at } => {
+                self.confirm(part, revision, confirmed_at);
             }
             ControlEvent::SourceRecovered => self.dispatcher.record_store_recovery(now),
             ControlEvent::Import(snapshot) => {
+                let context = self.change_context(ViewOrigin::Peer, ViewPart::Operators, now);
                 let changes = self.view.import(snapshot);
-                self.apply_changes(changes, "peer", now);
+                self.apply_changes(changes, context, now);
             }
             ControlEvent::Export(reply) => {
                 // The receiver is gone when the requesting router gave up.
@@ -169,10 +176,34 @@
         }
     }
 
-    fn apply_changes(&mut self, changes: Vec<ViewChange>, source: &str, now: Instant) {
+    fn apply_batch(&mut self, batch: ViewBatch, confirmed_at: Instant, now: Instant) {
+        let (part, revision) = (batch.part, batch.revision);
+        let origin = if batch.complete { ViewOrigin::Read } else { ViewOrigin::Feed };
+        let context = self.change_context(origin, part, now);
+        let changes = self.view.apply(batch);
+        self.apply_changes(changes, context, now);
+        self.confirm(part, revision, confirmed_at);
+    }
+
+    /// Records that a revision of a part was current, unless a newer one is known.
+    fn confirm(&mut self, part: ViewPart, revision: StoreRevision, confirmed_at: Instant) {
+        if revision >= self.view.revision(part) {
+            self.freshness.confirm(part, confirmed_at);
+        }
+    }
+
+    fn change_context(&self, origin: ViewOrigin, part: ViewPart, now: Instant) -> ChangeContext {
+        ChangeContext {
+            origin,
+            previous: self.view.configuration().map(|configuration| configuration.version),
+            unconfirmed: self.freshness.age(part, now),
+        }
+    }
+
+    fn apply_changes(&mut self, changes: Vec<ViewChange>, context: ChangeContext, now: Instant) {
         for change in changes {
             self.dispatcher.apply(&change, now);
-            self.log_change(&change, source);
+            log_change(&change, &self.view, context);
             if let ViewChange::Configuration(configuration) = &change {
                 self.context.table.send_replace(Some(Arc::new(RouteTable::from(&**configuration))));
                 self.context
@@ -183,43 +214,6 @@
         }
     }
 
-    fn log_change(&self, change: &ViewChange, source: &str) {
-        let operators = self.view.revision(ViewPart::Operators);
-        let upstreams = self.view.revision(ViewPart::Upstreams);
-        match change {
-            ViewChange::Configuration(configuration) => log::info!(
-                version = configuration.version, revision = operators,
-                routes = configuration.routes.len(), teams = configuration.teams.len(),
-                source = source; "configuration in force"
-            ),
-            ViewChange::TakenOut(data_centre) => log::info!(
-                data_centre = &**data_centre, revision = operators, source = source;
-                "data centre taken out"
-            ),
-            ViewChange::TakenBack(data_centre) => log::info!(
-                data_centre = &**data_centre, revision = operators, source = source;
-                "data centre taken back"
-            ),
-            ViewChange::MoveOrdered(order) => log::info!(
-                service = &*order.service, target = &*order.target,
-                duration:? = order.duration, revision = operators, source = source;
-                "version move ordered"
-            ),
-            ViewChange::MoveEnded(service) => log::info!(
-                service = &**service, revision = operators, source = source;
-                "version move order removed"
-            ),
-            ViewChange::Upstream(id, entry) => log::info!(
-                upstream = &**id, service = &*entry.service, address:% = entry.address,
-                leaving = entry.leaving, cold_left:? = entry.cold_left, revision = upstreams,
-                source = source; "upstream changed"
-            ),
-            ViewChange::UpstreamGone(id) => log::info!(
-                upstream = &**id, revision = upstreams, source = source; "upstream entry gone"
-            ),
-        }
-    }
-
     fn update_members(&mut self, members: Vec<MemberEntry>) {
         let own = Arc::clone(&self.context.settings.node);
         let alive: IndexMap<NodeId, MemberEntry> = members
@@ -249,6 +243,9 @@
         self.work_log.update(&mut self.dispatcher, metrics, now);
         metrics.waiting.set(i64::try_from(self.dispatcher.waiting()).unwrap_or(i64::MAX));
         metrics.granted.set(i64::try_from(self.dispatcher.granted()).unwrap_or(i64::MAX));
+        for part in ViewPart::ALL {
+            metrics.record_view_age(part, self.freshness.age(part, now));
+        }
         metrics.routers.set(i64::from(self.dispatcher.peers().router_count(now)));
     }
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,7 +1,7 @@
 //! Channels between the gateway's tasks and its control thread.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc::error::TrySendError;
@@ -10,8 +10,8 @@
 use super::adapter::{MemberEntry, MoveRecord};
 use super::observe::GatewayMetrics;
 use crate::decision::direct::{CallDecision, CallOutcome, PeerReport, PendingCall};
-use crate::ids::{CallId, GrantId, TeamId};
-use crate::routing::{ViewBatch, ViewSnapshot};
+use crate::ids::{CallId, GrantId, StoreRevision, TeamId};
+use crate::routing::{ViewBatch, ViewPart, ViewSnapshot};
 
 /// Event for the control thread.
 #[derive(Debug)]
@@ -46,7 +46,21 @@
     /// Work of the calls that were refused because of overload, by team.
     Shed(IndexMap<TeamId, f64>),
     /// Changes from the source.
-    View(ViewBatch),
+    View {
+        /// The changes.
+        batch: ViewBatch,
+        /// When the source still had no further changes.
+        confirmed_at: Instant,
+    },
+    /// The source has no changes of a part.
+    Unchanged {
+        /// The part.
+        part: ViewPart,
+        /// Revision up to which the source has no changes.
+        revision: StoreRevision,
+        /// When this was so.
+        confirmed_at: Instant,
+    },
     /// The source answers again after an outage.
     SourceRecovered,
     /// View of another router.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -81,11 +81,14 @@
     context: &GatewayContext<A>,
     batch: ViewBatch,
 ) -> eyre::Result<()> {
-    if batch.changes.is_empty() && !batch.complete {
-        // A new revision without changes is not reported; peers learn it with the next change.
-        return Ok(());
-    }
-    context.control.send(ControlEvent::View(batch)).await?;
+    let confirmed_at = Instant::now();
+    let event = if batch.changes.is_empty() && !batch.complete {
+        // The view keeps its revision; peers learn the new one with the next change.
+        ControlEvent::Unchanged { part: batch.part, revision: batch.revision, confirmed_at }
+    } else {
+        ControlEvent::View { batch, confirmed_at }
+    };
+    context.control.send(event).await?;
     Ok(())
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod settings;
 mod tracked_body;
+mod view_log;
 mod work_log;
 
 use std::sync::Arc;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -13,6 +13,7 @@
 
 use crate::decision::direct::WorkCount;
 use crate::ids::TeamId;
+use crate::routing::ViewPart;
 
 /// Labels of the counters of calls and sends.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -30,6 +31,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the gauge of the view's age.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ViewLabels {
+    /// The part of the view.
+    pub part: String,
+}
+
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -54,6 +62,9 @@
     pub routers: Gauge,
     /// Version of the configuration in force.
     pub configuration: Gauge,
+    /// Time since a part of the view was last known to be current, in seconds; -1 before the
+    /// first read.
+    pub view_age: Family<ViewLabels, Gauge<f64, AtomicU64>>,
     /// Reports to peers that were dropped because the queue was full.
     pub reports_dropped: Counter,
     /// Control events that were dropped because the queue was full.
@@ -76,6 +87,7 @@
             granted: Gauge::default(),
             routers: Gauge::default(),
             configuration: Gauge::default(),
+            view_age: Family::default(),
             reports_dropped: Counter::default(),
             events_dropped: Counter::default(),
         };
@@ -117,6 +129,11 @@
             "Version of the configuration in force",
             self.configuration.clone(),
         );
+        registry.register(
+            "view_age_seconds",
+            "Time since a part of the view was last known to be current",
+            self.view_age.clone(),
+        );
         registry.register(
             "reports_dropped",
             "Reports to peers that found the queue full",
@@ -150,6 +167,12 @@
         }
     }
 
+    /// Records the age of a part of the view.
+    pub fn record_view_age(&self, part: ViewPart, age: Option<Duration>) {
+        let labels = ViewLabels { part: part.to_string() };
+        self.view_age.get_or_create(&labels).set(age.map_or(-1.0, |age| age.as_secs_f64()));
+    }
+
     /// Records a time in a histogram.
     pub fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -22,6 +22,11 @@
     Upstreams,
 }
 
+impl ViewPart {
+    /// All parts.
+    pub const ALL: [Self; 2] = [Self::Operators, Self::Upstreams];
+}
+
 /// One change of a part.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ViewChange {
