--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -10,6 +10,7 @@
 use crate::ids::{
     CallFingerprint, Incarnation, NodeId, ServiceId, StoreRevision, TeamId, UpstreamId, VersionId,
 };
+use crate::routing::ViewPart;
 
 /// Time without reports after which a peer's load no longer counts.
 const LOAD_TTL: Duration = Duration::from_millis(1500);
@@ -110,6 +111,22 @@
     pub trials: Vec<TrialCount>,
     /// Whether the router is about to stop.
     pub leaving: bool,
+    /// Time since each part of its view was last known to be current.
+    #[serde(default)]
+    pub view_ages: Vec<(ViewPart, Duration)>,
+}
+
+impl PeerReport {
+    fn revision(&self, part: ViewPart) -> StoreRevision {
+        match part {
+            ViewPart::Operators => self.operators,
+            ViewPart::Upstreams => self.upstreams,
+        }
+    }
+
+    fn view_age(&self, part: ViewPart) -> Option<Duration> {
+        self.view_ages.iter().find(|(aged, _)| *aged == part).map(|(_, age)| *age)
+    }
 }
 
 /// Last report of one peer.
@@ -224,6 +241,25 @@
             .map(|(node, peer)| (node, peer.report.address))
     }
 
+    /// Returns when a revision of a part was last known to be current to a peer that has it.
+    pub fn confirmed_at(
+        &self,
+        part: ViewPart,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Option<Instant> {
+        self.alive(now)
+            .filter(|(_, peer)| peer.report.revision(part) == revision)
+            .filter_map(|(_, peer)| peer.received_at.checked_sub(peer.report.view_age(part)?))
+            .max()
+    }
+
+    /// Returns the number of live peers that come before a router in the order of their ids.
+    pub fn count_before(&self, node: &NodeId, now: Instant) -> u32 {
+        let count = self.alive(now).filter(|(peer, _)| *peer < node).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     fn alive(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &KnownPeer)> {
         self.peers.iter().filter(move |(_, peer)| {
             !peer.report.leaving && now.duration_since(peer.received_at) < REPORT_TTL
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -78,11 +78,12 @@
     /// Reads a part in full.
     fn read(&self, part: ViewPart) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
-    /// Waits for changes of a part after `revision`; returns an empty batch if there were none.
+    /// Returns the changes of a part after `revision`; waits for the first one for up to `wait`.
     fn follow(
         &self,
         part: ViewPart,
         revision: StoreRevision,
+        wait: Duration,
     ) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
     /// Writes this router's entry with the current time.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,6 +12,7 @@
 
 use super::adapter::{MemberEntry, MoveRecord};
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
+use super::follow::CheckSignals;
 use super::observe::GatewayMetrics;
 use super::settings::GatewaySettings;
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
@@ -21,7 +22,7 @@
     ViewFreshness, trial_counts,
 };
 use crate::ids::{CallId, Incarnation, NodeId, StoreRevision};
-use crate::routing::{FleetView, RouteTable, ViewBatch, ViewChange, ViewPart};
+use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
 use crate::supervisor::{ControlInbox, StopSignal};
 
 /// Minimum time between two reports to peers.
@@ -54,6 +55,8 @@
     pub inbox: ControlInbox<ControlEvent>,
     /// Channels to the tasks that do I/O for the control thread.
     pub outbox: ControlOutbox,
+    /// Requests to the followers to ask the source at once.
+    pub checks: Arc<CheckSignals>,
     /// Channel on which route tables are published.
     pub table: Arc<watch::Sender<Option<Arc<RouteTable>>>>,
     /// Metrics of the gateway.
@@ -153,8 +156,12 @@
                 }
             }
             ControlEvent::Shed(shed) => self.dispatcher.work_mut().record_shed(&shed),
-            ControlEvent::View { batch, confirmed_at } => {
-                self.apply_batch(batch, confirmed_at, now)
+            ControlEvent::View { batch, origin, confirmed_at } => {
+                let (part, revision) = (batch.part, batch.revision);
+                let context = self.change_context(origin, part, now);
+                let changes = self.view.apply(batch);
+                self.apply_changes(changes, context, now);
+                self.confirm(part, revision, confirmed_at);
             }
             ControlEvent::Unchanged { part, revision, confirmed_at } => {
                 self.confirm(part, revision, confirmed_at);
@@ -176,15 +183,6 @@
         }
     }
 
-    fn apply_batch(&mut self, batch: ViewBatch, confirmed_at: Instant, now: Instant) {
-        let (part, revision) = (batch.part, batch.revision);
-        let origin = if batch.complete { ViewOrigin::Read } else { ViewOrigin::Feed };
-        let context = self.change_context(origin, part, now);
-        let changes = self.view.apply(batch);
-        self.apply_changes(changes, context, now);
-        self.confirm(part, revision, confirmed_at);
-    }
-
     /// Records that a revision of a part was current, unless a newer one is known.
     fn confirm(&mut self, part: ViewPart, revision: StoreRevision, confirmed_at: Instant) {
         if revision >= self.view.revision(part) {
@@ -238,6 +236,7 @@
         self.dispatcher.refresh_from_peers(now);
         self.evaluate_moves(now);
         self.fetch_newer_view(now);
+        self.request_checks(now);
         self.send_report(now);
         let metrics = &self.context.metrics;
         self.work_log.update(&mut self.dispatcher, metrics, now);
@@ -270,6 +269,20 @@
         }
     }
 
+    /// Has the followers ask the source for parts that neither it nor a peer has confirmed lately.
+    fn request_checks(&mut self, now: Instant) {
+        let peers = self.dispatcher.peers();
+        for part in ViewPart::ALL {
+            if let Some(at) = peers.confirmed_at(part, self.view.revision(part), now) {
+                self.freshness.confirm(part, at);
+            }
+        }
+        let position = peers.count_before(&self.context.settings.node, now);
+        for part in self.freshness.take_due_checks(position, now) {
+            self.context.checks.of(part).notify_one();
+        }
+    }
+
     fn send_report(&mut self, now: Instant) {
         // A router that joined during an outage of the store is known by its reports only.
         let store_addresses = self.members.values().map(|member| member.address);
@@ -299,6 +312,10 @@
             suspects: Vec::new(),
             trials: Vec::new(),
             leaving: self.leaving,
+            view_ages: ViewPart::ALL
+                .into_iter()
+                .filter_map(|part| Some((part, self.freshness.age(part, now)?)))
+                .collect(),
         };
         self.dispatcher.fill_report(&mut report, now);
         let addresses = addresses.into_iter().collect();
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -9,6 +9,7 @@
 
 use super::adapter::{MemberEntry, MoveRecord};
 use super::observe::GatewayMetrics;
+use super::view_log::ViewOrigin;
 use crate::decision::direct::{CallDecision, CallOutcome, PeerReport, PendingCall};
 use crate::ids::{CallId, GrantId, StoreRevision, TeamId};
 use crate::routing::{ViewBatch, ViewPart, ViewSnapshot};
@@ -49,6 +50,8 @@
     View {
         /// The changes.
         batch: ViewBatch,
+        /// How they were learned.
+        origin: ViewOrigin,
         /// When the source still had no further changes.
         confirmed_at: Instant,
     },
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 use caller::CallCounter;
 use control::{ControlContext, OutboxReceivers, TableWatch, control_channels, run_control};
 use events::{ControlEvent, ControlSender};
+use follow::CheckSignals;
 use overload::CallAdmission;
 use pool::UpstreamPool;
 
@@ -76,6 +77,7 @@
     settings: Arc<GatewaySettings>,
     incarnation: Incarnation,
     control: ControlSender,
+    checks: Arc<CheckSignals>,
     table: TableWatch,
     pool: UpstreamPool,
     memory: Arc<Semaphore>,
@@ -120,6 +122,7 @@
         let settings = Arc::new(settings);
         let (control, inbox) = ControlInbox::bounded(CONTROL_CAPACITY);
         let (outbox, receivers) = control_channels();
+        let checks = Arc::new(CheckSignals::default());
         let (table_sender, table) = watch::channel(None);
         let metrics = Arc::new(GatewayMetrics::default());
         let incarnation = incarnation();
@@ -129,6 +132,7 @@
             settings: Arc::clone(&settings),
             incarnation,
             control,
+            checks: Arc::clone(&checks),
             table,
             pool: UpstreamPool::new(Arc::clone(&metrics)),
             memory: Arc::new(Semaphore::new(settings.call_memory() / MEMORY_UNIT)),
@@ -145,6 +149,7 @@
             incarnation,
             inbox,
             outbox,
+            checks,
             table: Arc::new(table_sender),
             metrics,
         };
--- a/src/gateway/view_log.rs
+++ b/src/gateway/view_log.rs
@@ -11,6 +11,9 @@
     /// The source answered a request that it had held until there was a change.
     #[display("feed")]
     Feed,
+    /// The source was asked because it had not confirmed the part for a while.
+    #[display("check")]
+    Check,
     /// The whole part was read.
     #[display("read")]
     Read,
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -149,6 +149,7 @@
         suspects: Vec::new(),
         trials: Vec::new(),
         leaving: false,
+        view_ages: Vec::new(),
     }
 }
 
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -28,6 +28,7 @@
         suspects: Vec::new(),
         trials: Vec::new(),
         leaving: false,
+        view_ages: Vec::new(),
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,3 +37,4 @@
 mod tls;
 mod trace;
 mod version_move;
+mod view_freshness;
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -368,6 +368,7 @@
             suspects: Vec::new(),
             trials: Vec::new(),
             leaving: false,
+            view_ages: Vec::new(),
         };
         router.dispatcher.fill_report(&mut report, self.now);
         report
