--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -117,6 +117,24 @@
 }
 
 impl PeerReport {
+    /// Creates a report of a router that knows and does nothing yet.
+    pub fn new(node: NodeId, address: SocketAddr, incarnation: Incarnation, sequence: u64) -> Self {
+        Self {
+            node,
+            address,
+            incarnation,
+            sequence,
+            operators: 0,
+            upstreams: 0,
+            loads: Vec::new(),
+            teams: Vec::new(),
+            suspects: Vec::new(),
+            trials: Vec::new(),
+            leaving: false,
+            view_ages: Vec::new(),
+        }
+    }
+
     fn revision(&self, part: ViewPart) -> StoreRevision {
         match part {
             ViewPart::Operators => self.operators,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -300,22 +300,17 @@
         self.last_report = Some(now);
         self.sequence += 1;
         let settings = &self.context.settings;
+        let node = Arc::clone(&settings.node);
+        let incarnation = self.context.incarnation;
         let mut report = PeerReport {
-            node: Arc::clone(&settings.node),
-            address: settings.peer,
-            incarnation: self.context.incarnation,
-            sequence: self.sequence,
             operators: self.view.revision(ViewPart::Operators),
             upstreams: self.view.revision(ViewPart::Upstreams),
-            loads: Vec::new(),
-            teams: Vec::new(),
-            suspects: Vec::new(),
-            trials: Vec::new(),
             leaving: self.leaving,
             view_ages: ViewPart::ALL
                 .into_iter()
                 .filter_map(|part| Some((part, self.freshness.age(part, now)?)))
                 .collect(),
+            ..PeerReport::new(node, settings.peer, incarnation, self.sequence)
         };
         self.dispatcher.fill_report(&mut report, now);
         let addresses = addresses.into_iter().collect();
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -137,20 +137,8 @@
 }
 
 fn report(sequence: u64, loads: Vec<(UpstreamId, PeerLoad)>) -> PeerReport {
-    PeerReport {
-        node: "router-2".into(),
-        address: ([127, 0, 0, 1], 7400).into(),
-        incarnation: 1,
-        sequence,
-        operators: 1,
-        upstreams: 1,
-        loads,
-        teams: Vec::new(),
-        suspects: Vec::new(),
-        trials: Vec::new(),
-        leaving: false,
-        view_ages: Vec::new(),
-    }
+    let report = PeerReport::new("router-2".into(), ([127, 0, 0, 1], 7400).into(), 1, sequence);
+    PeerReport { operators: 1, upstreams: 1, loads, ..report }
 }
 
 /// Guards against calls with a shared prompt part being spread over engines, each of which has to
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -16,20 +16,8 @@
 const WINDOW: Duration = Duration::from_secs(10);
 
 fn report(node: &str, incarnation: u64) -> PeerReport {
-    PeerReport {
-        node: node.into(),
-        address: ([127, 0, 0, 1], 7400).into(),
-        incarnation,
-        sequence: 1,
-        operators: 4,
-        upstreams: 9,
-        loads: Vec::new(),
-        teams: Vec::new(),
-        suspects: Vec::new(),
-        trials: Vec::new(),
-        leaving: false,
-        view_ages: Vec::new(),
-    }
+    let report = PeerReport::new(node.into(), ([127, 0, 0, 1], 7400).into(), incarnation, 1);
+    PeerReport { operators: 4, upstreams: 9, ..report }
 }
 
 fn trial(now: Instant) -> VersionTrial {
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -356,20 +356,8 @@
     fn report(&mut self, sender: usize) -> PeerReport {
         let router = &mut self.routers[sender];
         router.sequence += 1;
-        let mut report = PeerReport {
-            node: format!("router-{sender}").into(),
-            address: ([127, 0, 0, 1], 7000).into(),
-            incarnation: 1,
-            sequence: router.sequence,
-            operators: 0,
-            upstreams: 0,
-            loads: Vec::new(),
-            teams: Vec::new(),
-            suspects: Vec::new(),
-            trials: Vec::new(),
-            leaving: false,
-            view_ages: Vec::new(),
-        };
+        let node = format!("router-{sender}").into();
+        let mut report = PeerReport::new(node, ([127, 0, 0, 1], 7000).into(), 1, router.sequence);
         router.dispatcher.fill_report(&mut report, self.now);
         report
     }
--- a/tests/testsuite/view_freshness.rs
+++ b/tests/testsuite/view_freshness.rs
@@ -23,18 +23,10 @@
 
 fn report(index: usize, sequence: u64, age: Duration) -> PeerReport {
     PeerReport {
-        node: node(index),
-        address: ([127, 0, 0, 1], 7400).into(),
-        incarnation: 1,
-        sequence,
         operators: REVISION,
         upstreams: REVISION,
-        loads: Vec::new(),
-        teams: Vec::new(),
-        suspects: Vec::new(),
-        trials: Vec::new(),
-        leaving: false,
         view_ages: vec![(ViewPart::Operators, age)],
+        ..PeerReport::new(node(index), ([127, 0, 0, 1], 7400).into(), 1, sequence)
     }
 }
 
