--- a/src/decision/direct/part_evidence.rs
+++ b/src/decision/direct/part_evidence.rs
@@ -98,15 +98,21 @@
         }
     }
 
-    /// Returns the number of crashes since the last answer, for each part with crashes.
+    /// Returns the number of crashes of each part, also of those that an answer cleared.
     pub(super) fn crash_counts(&self) -> IndexMap<PromptPartId, usize> {
         self.parts
             .iter()
-            .filter(|(_, evidence)| !evidence.crashes.is_empty())
-            .map(|(part, evidence)| (*part, evidence.open_crashes().count()))
+            .map(|(part, evidence)| (*part, evidence.crashes.len()))
+            .filter(|(_, crashes)| *crashes > 0)
             .collect()
     }
 
+    /// Returns whether a call with the part was answered after `crashed_at`.
+    pub(super) fn is_cleared(&self, part: PromptPartId, crashed_at: Instant) -> bool {
+        let answered = self.parts.get(&part).and_then(|evidence| evidence.answered);
+        answered.is_some_and(|answered| answered >= crashed_at)
+    }
+
     /// Returns the parts that count as the cause of crashes, the one with the most crashes first.
     pub(super) fn deadly_parts(&self) -> Vec<DeadlyPart> {
         let mut explained: IndexSet<CrashId> = IndexSet::new();
@@ -121,7 +127,7 @@
     }
 
     /// Returns the part with the most moments of crashes that no other part explains, if these are
-    /// enough. Of two with as many, a part with which no call was ever answered goes first.
+    /// enough. Of two with as many, a part with which no call was answered lately goes first.
     fn next_deadly(&self, explained: &IndexSet<CrashId>) -> Option<(PromptPartId, &PartEvidence)> {
         self.parts
             .iter()
--- a/src/decision/direct/part_suspects.rs
+++ b/src/decision/direct/part_suspects.rs
@@ -188,6 +188,7 @@
         self.crashes.retain(|crash| now.saturating_duration_since(crash.at) < CRASH_RETENTION);
         let evidence = self.collect_evidence(peers, now);
         self.suspected = evidence.crash_counts();
+        self.forget_cleared(&evidence);
         let mut before = std::mem::take(&mut self.refused);
         let mut verdicts = Vec::new();
         for deadly in evidence.deadly_parts() {
@@ -203,6 +204,15 @@
         verdicts
     }
 
+    /// Drops the sightings that an answer cleared, so that they are no longer reported.
+    fn forget_cleared(&mut self, evidence: &FleetEvidence) {
+        for crash in &mut self.crashes {
+            let at = crash.at;
+            crash.parts.retain(|part| !evidence.is_cleared(*part, at));
+        }
+        self.crashes.retain(|crash| !crash.parts.is_empty());
+    }
+
     /// Returns the parts with the most crashes, with the last answer of each.
     pub fn report(&self, now: Instant) -> Vec<PartReport> {
         let mut reports = self.own_reports(now);
--- a/tests/testsuite/part_suspects.rs
+++ b/tests/testsuite/part_suspects.rs
@@ -178,13 +178,32 @@
     evaluate(&mut known, last);
     let later = last + Duration::from_secs(120);
     evaluate(&mut known, later);
-    let reports = known.report(later);
     let mut fresh = PartSuspects::default();
-    let received = reports.iter().map(|report| ReceivedPart { at: later, report });
-    fresh.evaluate(received, later);
+    exchange(&known, &mut fresh, later);
     expect_true!(fresh.is_refused(DEADLY));
 }
 
+/// Guards against a popular part that stays refused at a router without calls of its own, since the
+/// answers that clear it are left out of the reports of busy routers.
+#[gtest]
+fn report_many_suspects_still_clears_part() {
+    let mut idle = PartSuspects::default();
+    let mut busy = PartSuspects::default();
+    let last = crash_three(&mut idle, &[SHARED], Instant::now());
+    let others: Vec<PromptPartId> = (1_000..1_200).collect();
+    break_call(&mut busy, 9, &others, last + Duration::from_millis(50));
+    let now = last + Duration::from_millis(100);
+    busy.record_answered(&[SHARED], now);
+    exchange(&idle, &mut busy, now);
+    exchange(&busy, &mut idle, now);
+    expect_false!(idle.is_refused(SHARED));
+}
+
+fn exchange(sender: &PartSuspects, receiver: &mut PartSuspects, now: Instant) {
+    let reports = sender.report(now);
+    receiver.evaluate(reports.iter().map(|report| ReceivedPart { at: now, report }), now);
+}
+
 fn run(plan: CrashPlan) -> CrashRecord {
     let record = CrashFleet::run(plan);
     println!(
