--- a/src/decision/direct/part_evidence.rs
+++ b/src/decision/direct/part_evidence.rs
@@ -117,34 +117,62 @@
     pub(super) fn deadly_parts(&self) -> Vec<DeadlyPart> {
         let mut explained: IndexSet<CrashId> = IndexSet::new();
         let mut deadly: Vec<DeadlyPart> = Vec::new();
-        while let Some((part, evidence)) = self.next_deadly(&explained) {
-            let mut crashes: IndexMap<CrashId, Instant> = evidence.open_crashes().collect();
-            explained.extend(crashes.keys());
-            crashes.sort_by(|_, left, _, right| left.cmp(right));
-            deadly.push(DeadlyPart { part, crashes });
+        loop {
+            let next = self.most_suspect(&explained);
+            if next.is_empty() {
+                return deadly;
+            }
+            explained.extend(next.iter().flat_map(|part| part.crashes.keys()));
+            deadly.extend(next);
         }
-        deadly
     }
 
-    /// Returns the part with the most moments of crashes that no other part explains, if these are
-    /// enough. Of two with as many, a part with which no call was answered lately goes first.
-    fn next_deadly(&self, explained: &IndexSet<CrashId>) -> Option<(PromptPartId, &PartEvidence)> {
-        self.parts
+    /// Returns the parts with the most crashes that no other part explains, if these are enough. Of
+    /// two with as many, one with which no call was answered lately is more suspect; parts that the
+    /// evidence does not tell apart are returned together.
+    fn most_suspect(&self, explained: &IndexSet<CrashId>) -> Vec<DeadlyPart> {
+        let ranked: Vec<(SuspicionRank, PromptPartId, &PartEvidence)> = self
+            .parts
             .iter()
-            .map(|(part, evidence)| (evidence.moments(explained), *part, evidence))
-            .filter(|(moments, _, evidence)| *moments >= evidence.crash_limit())
-            .max_by_key(|(moments, _, evidence)| {
-                (*moments, evidence.crashes.len(), evidence.answered.is_none())
-            })
-            .map(|(_, part, evidence)| (part, evidence))
+            .map(|(part, evidence)| (evidence.rank(explained), *part, evidence))
+            .filter(|(rank, _, evidence)| rank.moments >= evidence.crash_limit())
+            .collect();
+        let highest = ranked.iter().map(|(rank, ..)| *rank).max();
+        ranked
+            .into_iter()
+            .filter(|(rank, ..)| Some(*rank) == highest)
+            .map(|(_, part, evidence)| evidence.deadly_part(part))
+            .collect()
     }
 }
 
+/// How suspect a part is; the greatest value is the most suspect one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SuspicionRank {
+    moments: usize,
+    crashes: usize,
+    is_unanswered: bool,
+}
+
 impl PartEvidence {
     fn crash_limit(&self) -> usize {
         if self.answered.is_none() { CRASH_LIMIT } else { KNOWN_PART_CRASH_LIMIT }
     }
 
+    fn rank(&self, explained: &IndexSet<CrashId>) -> SuspicionRank {
+        SuspicionRank {
+            moments: self.moments(explained),
+            crashes: self.open_crashes().count(),
+            is_unanswered: self.answered.is_none(),
+        }
+    }
+
+    fn deadly_part(&self, part: PromptPartId) -> DeadlyPart {
+        let mut crashes: IndexMap<CrashId, Instant> = self.open_crashes().collect();
+        crashes.sort_by(|_, left, _, right| left.cmp(right));
+        DeadlyPart { part, crashes }
+    }
+
     /// Returns the crashes since the last answer.
     fn open_crashes(&self) -> impl Iterator<Item = (CrashId, Instant)> {
         self.crashes
--- a/tests/testsuite/part_suspects.rs
+++ b/tests/testsuite/part_suspects.rs
@@ -90,6 +90,18 @@
     expect_true!(is_refused(&mut suspects, &[DEADLY], fourth));
 }
 
+/// Guards against refusing now one and now the other of two parts that the evidence does not tell
+/// apart, so that calls with the deadly one are sent half of the time.
+#[gtest]
+fn evaluate_parts_with_same_evidence_are_all_refused() {
+    const COMPANION: PromptPartId = 7;
+    let mut suspects = PartSuspects::default();
+    let last = crash_three(&mut suspects, &[DEADLY, COMPANION], Instant::now());
+    evaluate(&mut suspects, last);
+    expect_true!(suspects.is_refused(DEADLY));
+    expect_true!(suspects.is_refused(COMPANION));
+}
+
 /// Guards against taking a loss of power, which ends many upstreams at once, for the fault of a part
 /// that calls at each of them had.
 #[gtest]
