--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -96,11 +97,21 @@
     pub(super) lease: LeasedConnection,
     pub(super) body: Incoming,
     pub(super) frames: EventFrames,
+    /// Whether the end of the body is marked by a length or by chunks.
+    pub(super) is_framed: bool,
     pub(super) grant: CallGrant,
     pub(super) metadata: AnswerMetadata,
     pub(super) run: ExecutedCall,
 }
 
+impl RunningStream {
+    /// Returns whether the end of the body is the end of the stream. A body without a length or
+    /// chunks also ends when its upstream does, so such a stream without an event is broken.
+    pub(super) fn ends_whole(&self) -> bool {
+        !self.frames.has_partial() && (self.is_framed || self.guard.first_event_seen())
+    }
+}
+
 /// Outcome of one attempt.
 pub(super) enum AttemptOutcome {
     /// A complete answer.
@@ -310,8 +321,10 @@
         if is_stream && head.status.is_success() && metadata.signed {
             self.release_body();
             let frames = EventFrames::default();
+            let is_framed = is_framed(&head);
             let run = call.executed();
-            let stream = RunningStream { guard, lease, body, frames, grant, metadata, run };
+            let stream =
+                RunningStream { guard, lease, body, frames, is_framed, grant, metadata, run };
             return AttemptOutcome::Stream(head, Box::new(stream));
         }
         let mut memory = BufferMemory::new(Arc::clone(&self.context.memory));
@@ -497,6 +510,11 @@
     }
 }
 
+/// Returns whether the end of an answer's body is marked by a length or by chunks.
+fn is_framed(head: &response::Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether a status tells callers that the call has not run. Only the upstream's own
 /// statement can confirm that.
 fn implies_not_run(status: StatusCode) -> bool {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -129,7 +129,7 @@
                         return Some(Ok(events));
                     }
                 }
-                None if !stream.frames.has_partial() => {
+                None if stream.ends_whole() => {
                     self.finish();
                     return None;
                 }
