--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -305,14 +305,10 @@
     ) -> AttemptOutcome {
         let (head, body) = answer.into_parts();
         let metadata = self.context.adapter.codec().read_answer(&head);
-        let is_mismatched = metadata
-            .attempt
-            .as_ref()
-            .is_some_and(|attempt| *attempt != self.admitted.metadata.attempt);
-        if is_mismatched {
+        if !self.is_answered_by(&metadata, &lease) {
             log::warn!(
                 id = self.admitted.id, upstream = &*grant.upstream, answers:? = metadata.attempt;
-                "dropped an answer that belongs to another call"
+                "dropped an answer that may belong to another call"
             );
             guard.end(CallOutcome::Broken);
             return AttemptOutcome::Failed(call.executed(), None);
@@ -348,6 +344,16 @@
         self.classify_answer(call, guard, &metadata, head, body)
     }
 
+    /// Returns whether an answer belongs to this call. On a connection with earlier answers, a
+    /// statement that the call did not run has to name it, since it may be an earlier one that the
+    /// upstream wrote once more.
+    fn is_answered_by(&self, answer: &AnswerMetadata, lease: &LeasedConnection) -> bool {
+        match &answer.attempt {
+            Some(attempt) => *attempt == self.admitted.metadata.attempt,
+            None => !(answer.not_run && lease.is_reused()),
+        }
+    }
+
     /// Releases the memory of the body once the call runs and cannot run again.
     fn release_body(&mut self) {
         if self.admitted.route.may_retry() {
