--- a/src/decision/direct/part_evidence.rs
+++ b/src/decision/direct/part_evidence.rs
@@ -67,6 +67,8 @@
     pub(super) part: PromptPartId,
     /// Its crashes in order.
     pub(super) crashes: IndexMap<CrashId, Instant>,
+    /// Parts that the evidence does not tell apart from this one.
+    pub(super) rivals: Vec<PromptPartId>,
 }
 
 /// Evidence about all parts.
@@ -138,10 +140,13 @@
             .filter(|(rank, _, evidence)| rank.moments >= evidence.crash_limit())
             .collect();
         let highest = ranked.iter().map(|(rank, ..)| *rank).max();
+        let is_highest = |rank: &SuspicionRank| Some(*rank) == highest;
+        let group: Vec<PromptPartId> =
+            ranked.iter().filter(|(rank, ..)| is_highest(rank)).map(|(_, part, _)| *part).collect();
         ranked
             .into_iter()
-            .filter(|(rank, ..)| Some(*rank) == highest)
-            .map(|(_, part, evidence)| evidence.deadly_part(part))
+            .filter(|(rank, ..)| is_highest(rank))
+            .map(|(_, part, evidence)| evidence.deadly_part(part, &group))
             .collect()
     }
 }
@@ -167,10 +172,12 @@
         }
     }
 
-    fn deadly_part(&self, part: PromptPartId) -> DeadlyPart {
+    /// Returns the part with its crashes; `group` are the parts with the same rank.
+    fn deadly_part(&self, part: PromptPartId, group: &[PromptPartId]) -> DeadlyPart {
         let mut crashes: IndexMap<CrashId, Instant> = self.open_crashes().collect();
         crashes.sort_by(|_, left, _, right| left.cmp(right));
-        DeadlyPart { part, crashes }
+        let rivals = group.iter().copied().filter(|rival| *rival != part).collect();
+        DeadlyPart { part, crashes, rivals }
     }
 
     /// Returns the crashes since the last answer.
--- a/src/decision/direct/part_suspects.rs
+++ b/src/decision/direct/part_suspects.rs
@@ -2,8 +2,9 @@
 //!
 //! Routers report the crashes that broke calls before or just as their answers began, and each of
 //! them weighs the evidence of all. An upstream that goes on with calls from before a broken
-//! connection has not crashed, and what was blamed on it is dropped. While few crashes speak against
-//! a part, a single call is sent now and then, so that a part that is refused by mistake is cleared.
+//! connection has not crashed, and what was blamed on it is dropped. A single call is sent now and
+//! then as a probe, so that a part that is refused by mistake is cleared: while few crashes speak
+//! against the part, or if the call lacks a part that may be the cause instead.
 
 use std::time::{Duration, Instant};
 
@@ -31,13 +32,17 @@
 /// before its refusal ends.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
-/// Crashes from which a refused part is no longer probed.
+/// Crashes from which a refused part without rivals is no longer probed.
 const MAX_PROBED_CRASHES: usize = 5;
 
-/// Time after a crash or a probe of a refused part at which the first router in line probes it, and
-/// the additional time for each router before this one in line.
+/// Time after a crash or a probe of a refused part at which the first router in line probes it.
 const PROBE_DELAY: Duration = Duration::from_secs(5);
-const PROBE_STEP: Duration = Duration::from_secs(1);
+
+/// The same for a call that lacks one of the parts that may be the cause.
+const RIVAL_PROBE_DELAY: Duration = Duration::from_secs(1);
+
+/// Additional time for each router before this one in line.
+const PROBE_STEP: Duration = Duration::from_millis(500);
 
 /// Maximum number of crashes and of answered parts that are kept.
 const MAX_CRASHES: usize = 64;
@@ -95,6 +100,8 @@
     /// them from any other.
     crashes: IndexMap<CrashId, Instant>,
     last_crash: Instant,
+    /// Parts that may be the cause instead.
+    rivals: Vec<PromptPartId>,
     probed_at: Option<Instant>,
 }
 
@@ -120,11 +127,22 @@
         if self.refused.is_empty() {
             return None;
         }
-        prompt
-            .shared_parts()
+        let parts: Vec<PromptPartId> = prompt.shared_parts().iter().map(|part| part.id).collect();
+        let refused = |part| self.refused.get(part);
+        let delay = parts
             .iter()
-            .filter_map(|part| self.refused.get_mut(&part.id)?.refusal(position, now))
-            .max()
+            .filter_map(refused)
+            .filter(|refused| !refused.may_probe(&parts, position, now))
+            .map(|refused| refused.retry_after(now))
+            .max();
+        if delay.is_none() {
+            for part in &parts {
+                if let Some(refused) = self.refused.get_mut(part) {
+                    refused.probed_at = Some(now);
+                }
+            }
+        }
+        delay
     }
 
     /// Returns whether calls with the part are refused.
@@ -272,19 +290,26 @@
 impl RefusedPart {
     fn new(deadly: DeadlyPart, probed_at: Option<Instant>, now: Instant) -> Self {
         let last_crash = deadly.crashes.values().max().copied().unwrap_or(now);
-        Self { crashes: deadly.crashes, last_crash, probed_at }
+        Self { crashes: deadly.crashes, last_crash, rivals: deadly.rivals, probed_at }
     }
 
-    /// Returns the delay after which a call with the part may be tried again; `None` for a call
-    /// that is sent as a probe.
-    fn refusal(&mut self, position: u32, now: Instant) -> Option<Duration> {
-        let since = self.probed_at.max(Some(self.last_crash)).unwrap_or(now);
-        let probe_at = since + PROBE_DELAY + PROBE_STEP * position;
-        if self.crashes.len() < MAX_PROBED_CRASHES && now >= probe_at {
-            self.probed_at = Some(now);
-            return None;
-        }
+    /// Returns whether a call with the shared parts `parts` may be sent as a probe.
+    fn may_probe(&self, parts: &[PromptPartId], position: u32, now: Instant) -> bool {
+        let lacks_rival = self.rivals.iter().any(|rival| !parts.contains(rival));
+        let delay = if lacks_rival {
+            RIVAL_PROBE_DELAY
+        } else if self.crashes.len() < MAX_PROBED_CRASHES {
+            PROBE_DELAY
+        } else {
+            return false;
+        };
+        let since = self.probed_at.map_or(self.last_crash, |at| at.max(self.last_crash));
+        now >= since + delay + PROBE_STEP * position
+    }
+
+    /// Returns the delay after which callers are asked to return.
+    fn retry_after(&self, now: Instant) -> Duration {
         let until = self.last_crash + REFUSAL_TIME;
-        Some(until.saturating_duration_since(now).min(MAX_RETRY_AFTER))
+        until.saturating_duration_since(now).min(MAX_RETRY_AFTER)
     }
 }
--- a/tests/testsuite/part_suspects.rs
+++ b/tests/testsuite/part_suspects.rs
@@ -102,6 +102,27 @@
     expect_true!(suspects.is_refused(COMPANION));
 }
 
+/// Guards against a popular part that stays refused, since every call that was seen with it so far
+/// crashed: a call without the part that may be the cause instead is tried.
+#[gtest]
+fn refusal_call_without_rival_is_probed() {
+    let mut suspects = PartSuspects::default();
+    let mut last = crash_three(&mut suspects, &[SHARED, DEADLY], Instant::now());
+    for crash in 4..=6 {
+        last += Duration::from_millis(300);
+        break_call(&mut suspects, crash, &[SHARED, DEADLY], last);
+    }
+    evaluate(&mut suspects, last);
+    let later = last + Duration::from_secs(1);
+    expect_true!(is_refused(&mut suspects, &[SHARED, DEADLY], later));
+    expect_false!(is_refused(&mut suspects, &[SHARED], later));
+    expect_true!(is_refused(&mut suspects, &[SHARED], later));
+    suspects.record_answered(&[SHARED], later + Duration::from_millis(300));
+    evaluate(&mut suspects, later + Duration::from_millis(400));
+    expect_false!(suspects.is_refused(SHARED));
+    expect_true!(suspects.is_refused(DEADLY));
+}
+
 /// Guards against taking a loss of power, which ends many upstreams at once, for the fault of a part
 /// that calls at each of them had.
 #[gtest]
