--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -8,11 +8,12 @@
 
 use super::call::{BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, RefusalCause};
 use super::capacity::FleetBounds;
+use super::fleet_demand::FleetDemand;
 use super::load::UpstreamLoad;
 use super::part_suspects::{BrokenCall, PartSuspects, PartVerdict};
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
 use super::suspects::{CRASH_LIMIT, SuspectList};
-use super::team_usage::{FairLevel, TeamDemand, TeamUsage};
+use super::team_usage::FairLevel;
 use super::team_work::TeamWork;
 use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
@@ -60,12 +61,8 @@
     pub(super) changed: ChangedUpstreams,
     grants: IndexMap<GrantId, GrantedCall>,
     next_grant: GrantId,
-    teams: TeamUsage,
-    refused: TeamUsage,
+    pub(super) demand: FleetDemand,
     work: TeamWork,
-    pub(super) work_rate: Option<f64>,
-    pub(super) fair_level: FairLevel,
-    peer_demands: IndexMap<TeamId, TeamDemand>,
     pub(super) peers: PeerTable,
     suspects: SuspectList,
     part_suspects: PartSuspects,
@@ -92,12 +89,8 @@
             waiting: Vec::new(),
             grants: IndexMap::new(),
             next_grant: 1,
-            teams: TeamUsage::default(),
-            refused: TeamUsage::default(),
+            demand: FleetDemand::default(),
             work: TeamWork::default(),
-            work_rate: None,
-            fair_level: FairLevel::default(),
-            peer_demands: IndexMap::new(),
             changed: ChangedUpstreams::All,
             peers: PeerTable::default(),
             suspects: SuspectList::default(),
@@ -177,10 +170,7 @@
         for (id, load) in &mut self.upstreams {
             load.peers = sums.get(id).copied().unwrap_or_default();
         }
-        self.peer_demands = self.peers.team_demands(now);
-        self.fair_level = self
-            .work_rate
-            .map_or_else(FairLevel::default, |rate| FairLevel::new(&self.fleet_demands(now), rate));
+        self.demand.refresh(&self.peers, now);
         self.changed = ChangedUpstreams::All;
         self.part_suspects.evaluate(self.peers.parts(), now)
     }
@@ -190,20 +180,6 @@
         self.part_suspects.refused_count()
     }
 
-    fn fleet_demands(&self, now: Instant) -> Vec<TeamDemand> {
-        let own = self.teams.names().chain(self.refused.names());
-        let names: IndexSet<&TeamId> = own.chain(self.peer_demands.keys()).collect();
-        names
-            .into_iter()
-            .map(|team| {
-                let mut demand = self.peer_demands.get(team).copied().unwrap_or_default();
-                demand.usage += self.teams.usage_of(team, now);
-                demand.refused += self.refused.usage_of(team, now);
-                demand
-            })
-            .collect()
-    }
-
     /// Fills a report with this router's loads, team usage, suspects and version moves.
     pub fn fill_report(&mut self, report: &mut PeerReport, now: Instant) {
         report.loads = self
@@ -212,8 +188,7 @@
             .filter(|(_, load)| load.own != PeerLoad::default())
             .map(|(id, load)| (Arc::clone(id), load.own))
             .collect();
-        report.teams = self.teams.recent(now);
-        report.refused = self.refused.recent(now);
+        self.demand.fill_report(report, now);
         report.suspects = self.suspects.report();
         report.parts = self.part_suspects.report(now);
         report.trials = self
@@ -295,7 +270,7 @@
     ) {
         let (Some(team), BudgetCharge::First) = (&call.team, call.charge) else { return };
         if matches!(decision, CallDecision::Refuse { cause: RefusalCause::NoCapacity, .. }) {
-            self.refused.record(team, call.work(), now);
+            self.demand.record_refused(team, call.work(), now);
         }
     }
 
@@ -306,15 +281,12 @@
 
     /// Returns the max-min fair level of the teams' usage.
     pub fn fair_level(&self) -> FairLevel {
-        self.fair_level
+        self.demand.level()
     }
 
     /// Returns the recent usage of a team at all routers; 0 for calls without a team.
     pub fn fleet_usage(&self, team: Option<&str>, now: Instant) -> f64 {
-        team.map_or(0.0, |team| {
-            let peers = self.peer_demands.get(team).copied().unwrap_or_default();
-            self.teams.usage_of(team, now) + peers.usage
-        })
+        team.map_or(0.0, |team| self.demand.usage_of(team, now))
     }
 
     /// Decides about a call; `None` when it keeps waiting.
@@ -415,7 +387,7 @@
             expected_wait,
         };
         if let Some(team) = &call.team {
-            self.teams.record(team, call.work(), now);
+            self.demand.record_sent(team, call.work(), now);
         }
         self.grants.insert(
             id,
@@ -485,7 +457,7 @@
             && let Some(team) = &call.team
         {
             // The call did not run, so its work is not charged to the team.
-            self.teams.record(team, -call.work, now);
+            self.demand.record_sent(team, -call.work, now);
         }
         let load = self.upstreams.get_mut(&call.upstream)?;
         load.own.running = load.own.running.saturating_sub(1);
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -33,7 +33,7 @@
                     services.insert(Arc::clone(&entry.name), state);
                 }
                 self.services = services;
-                self.work_rate = configuration.work_rate;
+                self.demand.set_work_rate(configuration.work_rate);
             }
             ViewChange::TakenOut(data_centre) => {
                 self.taken_out.insert(Arc::clone(data_centre));
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod dispatcher;
 mod fleet_changes;
+mod fleet_demand;
 mod load;
 mod overload;
 mod overload_control;
--- a/src/decision/direct/part_evidence.rs
+++ b/src/decision/direct/part_evidence.rs
@@ -62,9 +62,9 @@
 
 /// A part that counts as the cause of crashes.
 #[derive(Clone, Debug)]
-pub(super) struct DeadlyPart {
-    /// The part.
-    pub(super) part: PromptPartId,
+pub(super) struct PoisonPart {
+    /// Identifier of the part.
+    pub(super) id: PromptPartId,
     /// Its crashes in order.
     pub(super) crashes: IndexMap<CrashId, Instant>,
     /// Parts that the evidence does not tell apart from this one.
@@ -116,23 +116,23 @@
     }
 
     /// Returns the parts that count as the cause of crashes, the one with the most crashes first.
-    pub(super) fn deadly_parts(&self) -> Vec<DeadlyPart> {
+    pub(super) fn poison_parts(&self) -> Vec<PoisonPart> {
         let mut explained: IndexSet<CrashId> = IndexSet::new();
-        let mut deadly: Vec<DeadlyPart> = Vec::new();
+        let mut parts: Vec<PoisonPart> = Vec::new();
         loop {
             let next = self.most_suspect(&explained);
             if next.is_empty() {
-                return deadly;
+                return parts;
             }
             explained.extend(next.iter().flat_map(|part| part.crashes.keys()));
-            deadly.extend(next);
+            parts.extend(next);
         }
     }
 
     /// Returns the parts with the most crashes that no other part explains, if these are enough. Of
     /// two with as many, one with which no call was answered lately is more suspect; parts that the
     /// evidence does not tell apart are returned together.
-    fn most_suspect(&self, explained: &IndexSet<CrashId>) -> Vec<DeadlyPart> {
+    fn most_suspect(&self, explained: &IndexSet<CrashId>) -> Vec<PoisonPart> {
         let ranked: Vec<(SuspicionRank, PromptPartId, &PartEvidence)> = self
             .parts
             .iter()
@@ -146,7 +146,7 @@
         ranked
             .into_iter()
             .filter(|(rank, ..)| is_highest(rank))
-            .map(|(_, part, evidence)| evidence.deadly_part(part, &group))
+            .map(|(_, part, evidence)| evidence.poison_part(part, &group))
             .collect()
     }
 }
@@ -173,11 +173,11 @@
     }
 
     /// Returns the part with its crashes; `group` are the parts with the same rank.
-    fn deadly_part(&self, part: PromptPartId, group: &[PromptPartId]) -> DeadlyPart {
+    fn poison_part(&self, id: PromptPartId, group: &[PromptPartId]) -> PoisonPart {
         let mut crashes: IndexMap<CrashId, Instant> = self.open_crashes().collect();
         crashes.sort_by(|_, left, _, right| left.cmp(right));
-        let rivals = group.iter().copied().filter(|rival| *rival != part).collect();
-        DeadlyPart { part, crashes, rivals }
+        let rivals = group.iter().copied().filter(|rival| *rival != id).collect();
+        PoisonPart { id, crashes, rivals }
     }
 
     /// Returns the crashes since the last answer.
--- a/src/decision/direct/part_suspects.rs
+++ b/src/decision/direct/part_suspects.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::call::PromptShape;
-use super::part_evidence::{CrashSighting, DeadlyPart, FleetEvidence, PartReport, ReceivedPart};
+use super::part_evidence::{CrashSighting, FleetEvidence, PartReport, PoisonPart, ReceivedPart};
 use crate::decision::quarantine::CrashId;
 use crate::ids::{GrantId, PromptPartId, UpstreamId};
 
@@ -209,14 +209,14 @@
         self.forget_cleared(&evidence);
         let mut before = std::mem::take(&mut self.refused);
         let mut verdicts = Vec::new();
-        for deadly in evidence.deadly_parts() {
-            let known = before.swap_remove(&deadly.part);
+        for part in evidence.poison_parts() {
+            let known = before.swap_remove(&part.id);
             if known.is_none() {
-                let crashes = deadly.crashes.len();
-                verdicts.push(PartVerdict::Refused { part: deadly.part, crashes });
+                let crashes = part.crashes.len();
+                verdicts.push(PartVerdict::Refused { part: part.id, crashes });
             }
             let probed_at = known.and_then(|known| known.probed_at);
-            self.refused.insert(deadly.part, RefusedPart::new(deadly, probed_at, now));
+            self.refused.insert(part.id, RefusedPart::new(part, probed_at, now));
         }
         verdicts.extend(before.into_keys().map(|part| PartVerdict::Cleared { part }));
         verdicts
@@ -288,9 +288,9 @@
 }
 
 impl RefusedPart {
-    fn new(deadly: DeadlyPart, probed_at: Option<Instant>, now: Instant) -> Self {
-        let last_crash = deadly.crashes.values().max().copied().unwrap_or(now);
-        Self { crashes: deadly.crashes, last_crash, rivals: deadly.rivals, probed_at }
+    fn new(part: PoisonPart, probed_at: Option<Instant>, now: Instant) -> Self {
+        let last_crash = part.crashes.values().max().copied().unwrap_or(now);
+        Self { crashes: part.crashes, last_crash, rivals: part.rivals, probed_at }
     }
 
     /// Returns whether a call with the shared parts `parts` may be sent as a probe.
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -85,7 +85,7 @@
         let routers = self.peers.router_count(now);
         let connections = connection_share(service, routers);
         let team_usage = self.fleet_usage(call.team.as_deref(), now);
-        let fractions = start_fractions(team_usage, self.fair_level);
+        let fractions = start_fractions(team_usage, self.demand.level());
         let mut best: Option<(f64, usize, u64)> = None;
         for index in candidates.indices() {
             let (id, load) = self.upstreams.get_index_mut(index)?;
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -447,13 +447,13 @@
 /// prompts in common, so that no fingerprint is seen twice.
 #[gtest]
 fn dispatch_part_after_three_crashes_refuses() {
-    const DEADLY_PART: PromptPartId = 7;
+    const POISON_PART: PromptPartId = 7;
     let start = Instant::now();
     let mut dispatcher = fleet(&["a", "b", "c", "d"], start);
     let mut crashed = Vec::new();
     for id in 0..3 {
         let now = start + Duration::from_secs(id);
-        let crashing = call(id, "team", prompt(DEADLY_PART, 400, 9), now);
+        let crashing = call(id, "team", prompt(POISON_PART, 400, 9), now);
         let crashing = PendingCall { tried: crashed.clone(), ..crashing };
         let grant = send(&mut dispatcher, crashing, now).expect("the call gets an upstream");
         dispatcher.record_end(grant.id, CallOutcome::Broken, false, now);
@@ -461,7 +461,7 @@
     }
     let now = start + Duration::from_secs(3);
     dispatcher.refresh_from_peers(now);
-    dispatcher.enqueue(call(9, "team", prompt(DEADLY_PART, 400, 9), now), now);
+    dispatcher.enqueue(call(9, "team", prompt(POISON_PART, 400, 9), now), now);
     assert_that!(
         refused(&dispatcher.dispatch(now)),
         elements_are![eq(&(9, RefusalCause::Suspect))]
--- a/tests/testsuite/part_suspects.rs
+++ b/tests/testsuite/part_suspects.rs
@@ -11,7 +11,7 @@
 use super::support::crash_fleet::{CrashFleet, CrashPlan, CrashRecord};
 
 /// Parts of the calls: one that crashes upstreams, one that its calls share with sound ones.
-const DEADLY: PromptPartId = 13;
+const POISON: PromptPartId = 13;
 const SHARED: PromptPartId = 1;
 
 /// Grant that is given next at each crash.
@@ -57,10 +57,10 @@
 #[gtest]
 fn evaluate_three_crashes_refuse_part() {
     let mut suspects = PartSuspects::default();
-    let last = crash_three(&mut suspects, &[DEADLY], Instant::now());
+    let last = crash_three(&mut suspects, &[POISON], Instant::now());
     let verdicts = evaluate(&mut suspects, last);
-    assert_that!(verdicts, elements_are![eq(&PartVerdict::Refused { part: DEADLY, crashes: 3 })]);
-    expect_true!(is_refused(&mut suspects, &[SHARED, DEADLY], last));
+    assert_that!(verdicts, elements_are![eq(&PartVerdict::Refused { part: POISON, crashes: 3 })]);
+    expect_true!(is_refused(&mut suspects, &[SHARED, POISON], last));
     expect_false!(is_refused(&mut suspects, &[SHARED], last));
 }
 
@@ -69,11 +69,11 @@
 #[gtest]
 fn evaluate_answered_part_is_kept() {
     let mut suspects = PartSuspects::default();
-    let last = crash_three(&mut suspects, &[SHARED, DEADLY], Instant::now());
+    let last = crash_three(&mut suspects, &[SHARED, POISON], Instant::now());
     suspects.record_answered(&[SHARED], last + Duration::from_millis(10));
     evaluate(&mut suspects, last + Duration::from_millis(100));
     expect_false!(is_refused(&mut suspects, &[SHARED], last));
-    expect_true!(is_refused(&mut suspects, &[DEADLY], last));
+    expect_true!(is_refused(&mut suspects, &[POISON], last));
 }
 
 /// Guards against refusing a part whose calls were only in flight at crashes that another part
@@ -82,23 +82,23 @@
 fn evaluate_bystander_of_same_crashes_is_kept() {
     const BYSTANDER: PromptPartId = 7;
     let mut suspects = PartSuspects::default();
-    let last = crash_three(&mut suspects, &[BYSTANDER, DEADLY], Instant::now());
+    let last = crash_three(&mut suspects, &[BYSTANDER, POISON], Instant::now());
     let fourth = last + Duration::from_millis(500);
-    break_call(&mut suspects, 4, &[DEADLY], fourth);
+    break_call(&mut suspects, 4, &[POISON], fourth);
     evaluate(&mut suspects, fourth);
     expect_false!(is_refused(&mut suspects, &[BYSTANDER], fourth));
-    expect_true!(is_refused(&mut suspects, &[DEADLY], fourth));
+    expect_true!(is_refused(&mut suspects, &[POISON], fourth));
 }
 
 /// Guards against refusing now one and now the other of two parts that the evidence does not tell
-/// apart, so that calls with the deadly one are sent half of the time.
+/// apart, so that calls with the poison one are sent half of the time.
 #[gtest]
 fn evaluate_parts_with_same_evidence_are_all_refused() {
     const COMPANION: PromptPartId = 7;
     let mut suspects = PartSuspects::default();
-    let last = crash_three(&mut suspects, &[DEADLY, COMPANION], Instant::now());
+    let last = crash_three(&mut suspects, &[POISON, COMPANION], Instant::now());
     evaluate(&mut suspects, last);
-    expect_true!(suspects.is_refused(DEADLY));
+    expect_true!(suspects.is_refused(POISON));
     expect_true!(suspects.is_refused(COMPANION));
 }
 
@@ -107,20 +107,20 @@
 #[gtest]
 fn refusal_call_without_rival_is_probed() {
     let mut suspects = PartSuspects::default();
-    let mut last = crash_three(&mut suspects, &[SHARED, DEADLY], Instant::now());
+    let mut last = crash_three(&mut suspects, &[SHARED, POISON], Instant::now());
     for crash in 4..=6 {
         last += Duration::from_millis(300);
-        break_call(&mut suspects, crash, &[SHARED, DEADLY], last);
+        break_call(&mut suspects, crash, &[SHARED, POISON], last);
     }
     evaluate(&mut suspects, last);
     let later = last + Duration::from_secs(1);
-    expect_true!(is_refused(&mut suspects, &[SHARED, DEADLY], later));
+    expect_true!(is_refused(&mut suspects, &[SHARED, POISON], later));
     expect_false!(is_refused(&mut suspects, &[SHARED], later));
     expect_true!(is_refused(&mut suspects, &[SHARED], later));
     suspects.record_answered(&[SHARED], later + Duration::from_millis(300));
     evaluate(&mut suspects, later + Duration::from_millis(400));
     expect_false!(suspects.is_refused(SHARED));
-    expect_true!(suspects.is_refused(DEADLY));
+    expect_true!(suspects.is_refused(POISON));
 }
 
 /// Guards against taking a loss of power, which ends many upstreams at once, for the fault of a part
@@ -149,7 +149,7 @@
 #[gtest]
 fn record_alive_later_call_clears_nothing() {
     let mut suspects = PartSuspects::default();
-    let last = crash_three(&mut suspects, &[DEADLY], Instant::now());
+    let last = crash_three(&mut suspects, &[POISON], Instant::now());
     let later = last + Duration::from_millis(100);
     suspects.record_alive(&upstream(2), NEXT_GRANT, later);
     expect_that!(evaluate(&mut suspects, later), len(eq(1)));
@@ -194,12 +194,12 @@
     let now = Instant::now();
     let mut suspects = PartSuspects::default();
     for crash in 1..=5 {
-        break_call(&mut suspects, crash, &[DEADLY], now + Duration::from_secs(crash));
+        break_call(&mut suspects, crash, &[POISON], now + Duration::from_secs(crash));
     }
     for minutes in 1..10 {
         let later = now + Duration::from_secs(60 * minutes);
         evaluate(&mut suspects, later);
-        expect_true!(is_refused(&mut suspects, &[DEADLY], later), "after {minutes} minutes");
+        expect_true!(is_refused(&mut suspects, &[POISON], later), "after {minutes} minutes");
     }
 }
 
@@ -207,13 +207,13 @@
 #[gtest]
 fn evaluate_new_router_learns_from_peer() {
     let mut known = PartSuspects::default();
-    let last = crash_three(&mut known, &[DEADLY], Instant::now());
+    let last = crash_three(&mut known, &[POISON], Instant::now());
     evaluate(&mut known, last);
     let later = last + Duration::from_secs(120);
     evaluate(&mut known, later);
     let mut fresh = PartSuspects::default();
     exchange(&known, &mut fresh, later);
-    expect_true!(fresh.is_refused(DEADLY));
+    expect_true!(fresh.is_refused(POISON));
 }
 
 /// Guards against a popular part that stays refused at a router without calls of its own, since the
@@ -240,11 +240,11 @@
 fn run(plan: CrashPlan) -> CrashRecord {
     let record = CrashFleet::run(plan);
     println!(
-        "{} routers, {} sound and {} deadly calls a second, {} reset: {} crashes, refused after \
+        "{} routers, {} sound and {} poison calls a second, {} reset: {} crashes, refused after \
          {:?} (first router) and {:?} (last), {} late sends, {} of {} sound calls refused",
         plan.routers,
         plan.sound_rate,
-        plan.deadly_rate,
+        plan.poison_rate,
         plan.reset_share,
         record.crashes,
         record.crashes_at_first,
@@ -256,12 +256,12 @@
     record
 }
 
-/// Checks that few calls with the deadly part are sent and few sound calls are refused, with and
+/// Checks that few calls with the poison part are sent and few sound calls are refused, with and
 /// without answers that break off for another reason.
-fn expect_found(routers: usize, upstreams: usize, sound_rate: f64, deadly_share: f64) {
-    let deadly_rate = sound_rate * deadly_share;
+fn expect_found(routers: usize, upstreams: usize, sound_rate: f64, poison_share: f64) {
+    let poison_rate = sound_rate * poison_share;
     for (seed, reset_share) in [(1, 0.0), (2, 0.02)] {
-        let plan = CrashPlan { routers, upstreams, sound_rate, deadly_rate, reset_share, seed };
+        let plan = CrashPlan { routers, upstreams, sound_rate, poison_rate, reset_share, seed };
         let record = run(plan);
         expect_that!(record.late_sends, le(3), "{plan:?}");
         expect_that!(record.sound_refused, le(record.sound / 50), "{plan:?}");
@@ -272,16 +272,16 @@
 /// that have the part.
 #[gtest]
 fn crash_fleet_one_router_finds_part() {
-    for deadly_share in [0.01, 0.05, 0.2] {
-        expect_found(1, 6, 60.0, deadly_share);
+    for poison_share in [0.01, 0.05, 0.2] {
+        expect_found(1, 6, 60.0, poison_share);
     }
 }
 
 /// Guards against the same where the crashes are seen by several routers.
 #[gtest]
 fn crash_fleet_five_routers_find_part() {
-    for deadly_share in [0.01, 0.05, 0.2] {
-        expect_found(5, 18, 180.0, deadly_share);
+    for poison_share in [0.01, 0.05, 0.2] {
+        expect_found(5, 18, 180.0, poison_share);
     }
 }
 
--- a/tests/testsuite/support/crash_fleet.rs
+++ b/tests/testsuite/support/crash_fleet.rs
@@ -1,7 +1,7 @@
 //! Simulated fleet in which calls with one part of their prompts crash their upstreams.
 //!
 //! Time is simulated. Routers exchange what they know of suspected parts every 100 ms, and some of
-//! these reports are lost. A call with the deadly part ends its upstream shortly after the answer
+//! these reports are lost. A call with the poison part ends its upstream shortly after the answer
 //! began, with all other calls there; the upstream is back some seconds later.
 
 use std::cmp::Reverse;
@@ -17,7 +17,7 @@
 use rand::{RngExt, SeedableRng};
 
 /// Part that crashes upstreams.
-pub const DEADLY_PART: PromptPartId = 666;
+pub const POISON_PART: PromptPartId = 666;
 
 /// Parts at the start of prompts, and the parts that name a call's subject.
 const FIRST_PARTS: u64 = 4;
@@ -28,17 +28,17 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 const REPORT_LOSS: f64 = 0.05;
 
-/// Time from the first event of the deadly call's answer to the end of its upstream, and until the
+/// Time from the first event of the poison call's answer to the end of its upstream, and until the
 /// upstream is back.
 const CRASH_DELAY: Duration = Duration::from_millis(100);
 const RESTART_TIME: Duration = Duration::from_secs(3);
 
-/// Time from the fifth crash from which calls with the deadly part are counted.
+/// Time from the fifth crash from which calls with the poison part are counted.
 const KNOWN_AFTER: Duration = Duration::from_secs(3);
 
-/// Times of the simulation: the first deadly call, the last one and the end.
-const DEADLY_FROM: Duration = Duration::from_secs(4);
-const DEADLY_UNTIL: Duration = Duration::from_secs(14);
+/// Times of the simulation: the first poison call, the last one and the end.
+const POISON_FROM: Duration = Duration::from_secs(4);
+const POISON_UNTIL: Duration = Duration::from_secs(14);
 const LENGTH: Duration = Duration::from_secs(16);
 
 /// Size and traffic of a simulated fleet.
@@ -50,8 +50,8 @@
     pub upstreams: usize,
     /// Sound calls per second.
     pub sound_rate: f64,
-    /// Calls per second with the deadly part.
-    pub deadly_rate: f64,
+    /// Calls per second with the poison part.
+    pub poison_rate: f64,
     /// Fraction of the sound calls whose connections are reset although the upstream lives.
     pub reset_share: f64,
     /// Seed of all draws.
@@ -63,11 +63,11 @@
 pub struct CrashRecord {
     /// Upstreams that ended.
     pub crashes: usize,
-    /// Upstreams that had ended when the first and when the last router refused the deadly part;
+    /// Upstreams that had ended when the first and when the last router refused the poison part;
     /// `None` if it never did.
     pub crashes_at_first: Option<usize>,
     pub crashes_at_last: Option<usize>,
-    /// Calls with the deadly part that were sent later than [`KNOWN_AFTER`] after the fifth crash.
+    /// Calls with the poison part that were sent later than [`KNOWN_AFTER`] after the fifth crash.
     pub late_sends: usize,
     /// Sound calls, and those of them that were refused.
     pub sound: usize,
@@ -95,14 +95,14 @@
     router: usize,
     grant: GrantId,
     parts: Vec<PromptPartId>,
-    is_deadly: bool,
+    is_poison: bool,
     first_event_at: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
 enum CrashEvent {
     SoundCall,
-    DeadlyCall,
+    PoisonCall,
     FirstEvent { upstream: usize, call: u64 },
     Answered { upstream: usize, call: u64 },
     Reset { upstream: usize, call: u64 },
@@ -172,7 +172,7 @@
             plan,
         };
         fleet.schedule(Duration::ZERO, CrashEvent::SoundCall);
-        fleet.schedule(DEADLY_FROM, CrashEvent::DeadlyCall);
+        fleet.schedule(POISON_FROM, CrashEvent::PoisonCall);
         fleet.schedule(REPORT_INTERVAL, CrashEvent::Report);
         fleet
     }
@@ -205,11 +205,11 @@
                 let gap = self.gap(self.plan.sound_rate);
                 self.schedule(gap, CrashEvent::SoundCall);
             }
-            CrashEvent::DeadlyCall => {
+            CrashEvent::PoisonCall => {
                 self.send(true);
-                if self.now < self.start + DEADLY_UNTIL {
-                    let gap = self.gap(self.plan.deadly_rate);
-                    self.schedule(gap, CrashEvent::DeadlyCall);
+                if self.now < self.start + POISON_UNTIL {
+                    let gap = self.gap(self.plan.poison_rate);
+                    self.schedule(gap, CrashEvent::PoisonCall);
                 }
             }
             CrashEvent::FirstEvent { upstream, call } => self.begin_answer(upstream, call),
@@ -229,27 +229,27 @@
         }
     }
 
-    fn send(&mut self, is_deadly: bool) {
+    fn send(&mut self, is_poison: bool) {
         let router = self.random.random_range(0..self.plan.routers);
         let subject = FIRST_SUBJECT + self.random.random_range(0..SUBJECTS);
         let mut parts = vec![self.random.random_range(0..FIRST_PARTS), subject];
-        if is_deadly {
-            parts.push(DEADLY_PART);
+        if is_poison {
+            parts.push(POISON_PART);
         } else {
             self.record.sound += 1;
         }
         if self.is_refused(router, &parts) {
-            self.record.sound_refused += usize::from(!is_deadly);
+            self.record.sound_refused += usize::from(!is_poison);
             return;
         }
         let Some(upstream) = self.choose_upstream(subject) else { return };
-        if is_deadly && self.fifth_crash.is_some_and(|fifth| self.now > fifth + KNOWN_AFTER) {
+        if is_poison && self.fifth_crash.is_some_and(|fifth| self.now > fifth + KNOWN_AFTER) {
             self.record.late_sends += 1;
         }
         let grant = self.routers[router].next_grant;
         self.routers[router].next_grant += 1;
         let id = self.new_id();
-        let call = RunningCall { router, grant, parts, is_deadly, first_event_at: None };
+        let call = RunningCall { router, grant, parts, is_poison, first_event_at: None };
         self.upstreams[upstream].calls.insert(id, call);
         let wait = self.milliseconds(40, 250);
         self.schedule(wait, CrashEvent::FirstEvent { upstream, call: id });
@@ -277,10 +277,10 @@
     fn begin_answer(&mut self, upstream: usize, id: u64) {
         let Some(call) = self.upstreams[upstream].calls.get_mut(&id) else { return };
         call.first_event_at = Some(self.now);
-        let RunningCall { router, grant, is_deadly, .. } = *call;
+        let RunningCall { router, grant, is_poison, .. } = *call;
         let name = upstream_name(upstream);
         self.routers[router].suspects.record_alive(&name, grant, self.now);
-        if is_deadly {
+        if is_poison {
             self.schedule(CRASH_DELAY, CrashEvent::Crash { upstream });
         } else if self.random.random_bool(self.plan.reset_share) {
             self.schedule(Duration::from_millis(5), CrashEvent::Reset { upstream, call: id });
@@ -342,10 +342,10 @@
         self.schedule(REPORT_INTERVAL, CrashEvent::Report);
     }
 
-    /// Notes the number of crashes at which each router began to refuse the deadly part.
+    /// Notes the number of crashes at which each router began to refuse the poison part.
     fn note_refusals(&mut self) {
         for router in &mut self.routers {
-            if router.refused_at.is_none() && router.suspects.is_refused(DEADLY_PART) {
+            if router.refused_at.is_none() && router.suspects.is_refused(POISON_PART) {
                 router.refused_at = Some(self.record.crashes);
             }
         }
