--- a/src/decision/direct/capacity.rs
+++ b/src/decision/direct/capacity.rs
@@ -198,7 +198,7 @@
     {
         return true;
     }
-    let idle = load.own.waiting_tokens + load.peers.waiting_tokens == 0;
+    let idle = load.waiting_tokens() == 0;
     idle && wait <= call.deadline.duration_since(call.arrived).mul_f64(LARGE_CALL_FRACTION)
 }
 
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -43,7 +43,11 @@
     queued_tokens: u64,
     held_tokens: u64,
     work: f64,
+    /// When the first event is expected.
+    due_at: Instant,
     first_event_at: Option<Instant>,
+    /// Whether the first event has probably arrived and lies unread at this router.
+    is_unread: bool,
 }
 
 /// Dispatcher of one router.
@@ -66,6 +70,8 @@
     pub(super) peers: PeerTable,
     suspects: SuspectList,
     part_suspects: PartSuspects,
+    /// Time for which the last first event lay at this router before it was read.
+    own_delay: Duration,
     pub(super) store_recovered_at: Option<Instant>,
 }
 
@@ -95,6 +101,7 @@
             peers: PeerTable::default(),
             suspects: SuspectList::default(),
             part_suspects: PartSuspects::default(),
+            own_delay: Duration::ZERO,
             store_recovered_at: None,
         }
     }
@@ -171,10 +178,28 @@
             load.peers = sums.get(id).copied().unwrap_or_default();
         }
         self.demand.refresh(&self.peers, now);
+        self.estimate_unread(now);
         self.changed = ChangedUpstreams::All;
         self.part_suspects.evaluate(self.peers.parts(), now)
     }
 
+    /// Estimates which first events lie unread at this router: those that are due for less than the
+    /// router's own delay. Their prompts no longer wait at the upstreams.
+    fn estimate_unread(&mut self, now: Instant) {
+        for load in self.upstreams.values_mut() {
+            load.unread_tokens = 0;
+        }
+        for call in self.grants.values_mut() {
+            let is_due = now >= call.due_at && now < call.due_at + self.own_delay;
+            call.is_unread = is_due && call.first_event_at.is_none();
+            if call.is_unread
+                && let Some(load) = self.upstreams.get_mut(&call.upstream)
+            {
+                load.unread_tokens += call.uncached_tokens;
+            }
+        }
+    }
+
     /// Returns the number of parts of prompts whose calls are refused.
     pub fn refused_parts(&self) -> usize {
         self.part_suspects.refused_count()
@@ -186,7 +211,7 @@
             .upstreams
             .iter()
             .filter(|(_, load)| load.own != PeerLoad::default())
-            .map(|(id, load)| (Arc::clone(id), load.own))
+            .map(|(id, load)| (Arc::clone(id), load.report()))
             .collect();
         self.demand.fill_report(report, now);
         report.suspects = self.suspects.report();
@@ -379,7 +404,7 @@
         }
         let id = self.next_grant;
         self.next_grant += 1;
-        let queued_tokens = load.own.waiting_tokens + load.peers.waiting_tokens;
+        let queued_tokens = load.waiting_tokens();
         let grant = CallGrant {
             id,
             upstream: Arc::clone(upstream),
@@ -402,7 +427,9 @@
                 queued_tokens,
                 held_tokens,
                 work: call.work(),
+                due_at: now + expected_wait,
                 first_event_at: None,
+                is_unread: false,
             },
         );
         grant
@@ -421,10 +448,11 @@
         if call.first_event_at.replace(now).is_some() {
             return;
         }
+        self.own_delay = own_delay;
         self.part_suspects.record_alive(&call.upstream, grant, now);
         self.changed.insert(&call.upstream);
         if let Some(load) = self.upstreams.get_mut(&call.upstream) {
-            load.own.waiting_tokens = load.own.waiting_tokens.saturating_sub(call.uncached_tokens);
+            load.end_wait(call.uncached_tokens, std::mem::take(&mut call.is_unread));
             load.record_first_event(call.queued_tokens, waited.saturating_sub(own_delay));
         }
     }
@@ -463,7 +491,7 @@
         load.own.running = load.own.running.saturating_sub(1);
         load.own.held_tokens = load.own.held_tokens.saturating_sub(call.held_tokens);
         if call.first_event_at.is_none() {
-            load.own.waiting_tokens = load.own.waiting_tokens.saturating_sub(call.uncached_tokens);
+            load.end_wait(call.uncached_tokens, call.is_unread);
         }
         if let Some(trial) = self.trials.get_mut(&load.entry.service) {
             let counted = !matches!(
--- a/src/decision/direct/load.rs
+++ b/src/decision/direct/load.rs
@@ -134,6 +134,8 @@
     pub entry: UpstreamEntry,
     /// Load from this router.
     pub own: PeerLoad,
+    /// Part of the own waiting tokens whose first events have probably arrived unread.
+    pub unread_tokens: u64,
     /// Load from all other routers, as last reported.
     pub peers: PeerLoad,
     /// Estimate of its prefix cache.
@@ -156,6 +158,7 @@
         Self {
             entry,
             own: PeerLoad::default(),
+            unread_tokens: 0,
             peers: PeerLoad::default(),
             cache: PrefixCache::default(),
             cold: ColdLimiter::default(),
@@ -178,10 +181,28 @@
         self.own.running + self.peers.running
     }
 
+    /// Returns the load from this router without the calls that probably no longer wait.
+    pub fn report(&self) -> PeerLoad {
+        let waiting_tokens = self.own.waiting_tokens.saturating_sub(self.unread_tokens);
+        PeerLoad { waiting_tokens, ..self.own }
+    }
+
+    /// Returns the prompt tokens of all routers' calls that probably wait.
+    pub fn waiting_tokens(&self) -> u64 {
+        self.report().waiting_tokens + self.peers.waiting_tokens
+    }
+
+    /// Records that a call no longer waits; `is_unread` when it was counted as such.
+    pub fn end_wait(&mut self, tokens: u64, is_unread: bool) {
+        self.own.waiting_tokens = self.own.waiting_tokens.saturating_sub(tokens);
+        if is_unread {
+            self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
     /// Returns the expected time to the first event of a call with `uncached` prompt tokens.
     pub fn expected_wait(&self, uncached: u64) -> Duration {
-        let tokens = self.own.waiting_tokens + self.peers.waiting_tokens + uncached;
-        BASE_FIRST_EVENT_TIME + self.read_time(tokens)
+        BASE_FIRST_EVENT_TIME + self.read_time(self.waiting_tokens() + uncached)
     }
 
     /// Returns the time that the upstream takes to read prompt tokens.
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -644,3 +644,36 @@
     assert_that!(sent.len(), eq(1));
     expect_that!(*sent[0].1.upstream, eq("b"));
 }
+
+/// Counts the calls that a router with filled upstreams sends when the first events of its calls
+/// are due, `after` the calls were sent, and lie at it for `own_delay` before they are read.
+fn calls_sent_when_events_are_due(own_delay: Duration, after: Duration) -> usize {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let grants = fill(&mut dispatcher, "flood", now);
+    let last_wait = grants.last().expect("the upstream took calls").expected_wait;
+    let later = now + last_wait + after;
+    dispatcher.record_first_event(grants[0].id, last_wait, own_delay, later);
+    dispatcher.refresh_from_peers(later);
+    fill(&mut dispatcher, "team", later).len()
+}
+
+/// Guards against a slow router that takes first events which it has not read yet for prompts that
+/// still wait, and so refuses calls that its upstreams have capacity for.
+#[gtest]
+fn dispatch_call_first_events_unread_uses_upstream() {
+    let in_time = calls_sent_when_events_are_due(Duration::ZERO, Duration::from_millis(20));
+    let unread =
+        calls_sent_when_events_are_due(Duration::from_millis(300), Duration::from_millis(20));
+    expect_that!(in_time, le(2));
+    expect_that!(unread, ge(8));
+}
+
+/// Guards against an upstream being taken for idle by a slow router when its first events are
+/// overdue for longer than they can lie at the router.
+#[gtest]
+fn dispatch_call_first_events_overdue_waits() {
+    let own_delay = Duration::from_millis(300);
+    let overdue = calls_sent_when_events_are_due(own_delay, Duration::from_millis(700));
+    expect_that!(overdue, le(2));
+}
