--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -4,6 +4,7 @@
 //! put on each upstream, and this router's shares of the bounds that hold for all routers together.
 
 mod call;
+mod call_cost;
 mod candidates;
 mod capacity;
 mod dispatcher;
@@ -29,6 +30,7 @@
     BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, PromptPart, PromptShape,
     RefusalCause, call_work,
 };
+pub use call_cost::CostEstimate;
 pub use capacity::FleetBounds;
 pub use dispatcher::{DirectDispatcher, trial_counts};
 pub use load::{ColdLimiter, PrefixCache, UpstreamLoad};
--- a/src/decision/direct/overload.rs
+++ b/src/decision/direct/overload.rs
@@ -4,7 +4,7 @@
 
 use super::sustainable_rate::{self, SustainableRate};
 
-/// Processor time of a call that is refused at once, as a fraction of that of an admitted call.
+/// Processor time of a call that is refused at once, relative to that of a call with eight writes.
 pub(super) const REFUSAL_COST: f64 = 0.25;
 
 /// Length of a burst, at the sustainable rate, that the limiter lets through.
@@ -39,10 +39,12 @@
 /// Overload that begins within this time of the last one counts as a relapse.
 const RELAPSE_WINDOW: Duration = Duration::from_secs(10);
 
-/// Limits the rate of calls to what the router's processor sustains.
+/// Limits the calls to what the router's processor sustains.
 ///
-/// A token bucket, in calls. A call that finds too little is refused at once, so that its caller
-/// still has time to try another router. Refusals use processor time and are charged too.
+/// A token bucket of processor time, in calls with eight writes. A call that finds too little is
+/// refused at once, so that its caller still has time to try another router. Calls that cost less
+/// find enough sooner, so that the processor does the most work. Refusals use processor time and
+/// are charged too.
 #[derive(Debug)]
 pub struct CallLimiter {
     rate: f64,
@@ -62,20 +64,22 @@
         self.rate = rate;
     }
 
-    /// Charges a call, or its refusal; returns whether the call is admitted.
-    pub fn try_admit(&mut self, now: Instant) -> bool {
-        let has_budget = self.has_budget(now);
-        let cost = if has_budget { 1.0 } else { REFUSAL_COST };
-        self.budget = (self.budget - cost).max(0.0);
+    /// Charges a call with this cost, or its refusal; returns whether the call is admitted.
+    pub fn try_admit(&mut self, cost: f64, now: Instant) -> bool {
+        let has_budget = self.has_budget(cost, now);
+        let charge = if has_budget { cost } else { REFUSAL_COST };
+        self.budget = (self.budget - charge).max(0.0);
         has_budget
     }
 
-    /// Refills the bucket and returns whether it holds another call.
-    pub fn has_budget(&mut self, now: Instant) -> bool {
+    /// Refills the bucket and returns whether it holds a call with this cost. A full bucket holds
+    /// any call.
+    pub fn has_budget(&mut self, cost: f64, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
-        self.budget = (self.budget + passed * self.rate).min(burst(self.rate));
+        let burst = burst(self.rate);
+        self.budget = (self.budget + passed * self.rate).min(burst);
         self.refilled = now;
-        self.budget >= 1.0
+        self.budget >= cost.min(burst)
     }
 }
 
@@ -91,8 +95,8 @@
     pub lateness: Duration,
     /// Fraction of the connections in use.
     pub connections_used: f64,
-    /// Calls that arrived.
-    pub calls: u64,
+    /// Calls that arrived, as a multiple of the cost of a call with eight writes.
+    pub calls: f64,
     /// Time since the last sample.
     pub interval: Duration,
 }
@@ -149,7 +153,7 @@
 
     /// Adds a sample; returns the new state when the overload begins or ends.
     pub fn record(&mut self, sample: LoadSample, now: Instant) -> Option<bool> {
-        let rate = sample.calls as f64 / sample.interval.as_secs_f64().max(f64::EPSILON);
+        let rate = sample.calls / sample.interval.as_secs_f64().max(f64::EPSILON);
         self.lateness += SAMPLE_WEIGHT * (sample.lateness.as_secs_f64() - self.lateness);
         self.demand +=
             SAMPLE_WEIGHT * (rate / self.sustainable_rate.max(f64::EPSILON) - self.demand);
--- a/src/decision/direct/overload_control.rs
+++ b/src/decision/direct/overload_control.rs
@@ -2,18 +2,27 @@
 
 use std::time::{Duration, Instant};
 
+use super::call::PromptShape;
+use super::call_cost::CostEstimate;
 use super::overload::{CallLimiter, LoadSample, OverloadDetector, REFUSAL_COST, SAMPLE_WEIGHT};
 use super::sustainable_rate::SustainableRate;
 
+/// Smallest budget with which a new connection is served: that of a call of mean cost.
+const CONNECTION_BUDGET: f64 = 1.0;
+
 /// Limits the calls of a router to what its own samples show that it sustains.
 #[derive(Debug)]
 pub struct OverloadControl {
     limiter: CallLimiter,
     detector: OverloadDetector,
     rate: SustainableRate,
+    costs: CostEstimate,
     limiting: bool,
-    admitted: u64,
-    refused: u64,
+    /// Cost of the calls that were admitted since the last sample.
+    admitted: f64,
+    /// Cost that the calls which were refused since then would have had, and their number.
+    refused: f64,
+    refusals: u32,
     served: f64,
 }
 
@@ -24,16 +33,18 @@
             limiter: CallLimiter::new(processor_share, now),
             detector: OverloadDetector::new(processor_share, now),
             rate: SustainableRate::new(processor_share),
+            costs: CostEstimate::default(),
             limiting: false,
-            admitted: 0,
-            refused: 0,
+            admitted: 0.0,
+            refused: 0.0,
+            refusals: 0,
             served: 0.0,
         };
         control.apply_rate();
         control
     }
 
-    /// Returns the rate that the processor sustains, in calls per second.
+    /// Returns the rate that the processor sustains, in calls with eight writes per second.
     pub fn sustainable_rate(&self) -> f64 {
         self.rate.per_second()
     }
@@ -43,20 +54,32 @@
         &self.detector
     }
 
-    /// Counts a call and returns whether it is admitted; the rate is limited only under overload.
-    pub fn try_admit(&mut self, now: Instant) -> bool {
-        let is_admitted = self.limiter.try_admit(now) || !self.limiting;
+    /// Returns the cost of a call, relative to that of a call with eight writes.
+    pub fn cost_of(&self, prompt: Option<&PromptShape>) -> f64 {
+        self.costs.cost_of(prompt)
+    }
+
+    /// Records that a stream with this limit of output tokens ended after so many writes.
+    pub fn record_stream(&mut self, tokens_out: u32, writes: u32) {
+        self.costs.record_stream(tokens_out, writes);
+    }
+
+    /// Counts a call with this cost and returns whether it is admitted; the rate is limited only
+    /// under overload.
+    pub fn try_admit(&mut self, cost: f64, now: Instant) -> bool {
+        let is_admitted = self.limiter.try_admit(cost, now) || !self.limiting;
         if is_admitted {
-            self.admitted += 1;
+            self.admitted += cost;
         } else {
-            self.refused += 1;
+            self.refused += cost;
+            self.refusals += 1;
         }
         is_admitted
     }
 
     /// Returns whether a new connection may be served; only limited under overload.
     pub fn can_accept_connection(&mut self, now: Instant) -> bool {
-        !self.limiting || self.limiter.has_budget(now)
+        !self.limiting || self.limiter.has_budget(CONNECTION_BUDGET, now)
     }
 
     /// Records how late a timer fired `interval` after the last one, and the fraction of the
@@ -70,10 +93,11 @@
     ) -> Option<bool> {
         let admitted = std::mem::take(&mut self.admitted);
         let refused = std::mem::take(&mut self.refused);
+        let refusals = f64::from(std::mem::take(&mut self.refusals));
         let calls = admitted + refused;
         let sample = LoadSample { lateness, connections_used, calls, interval };
         let change = self.detector.record(sample, now);
-        let served = admitted as f64 + REFUSAL_COST * refused as f64;
+        let served = admitted + REFUSAL_COST * refusals;
         let served = served / interval.as_secs_f64().max(f64::EPSILON);
         self.served += SAMPLE_WEIGHT * (served - self.served);
         self.update_rate();
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -37,16 +37,15 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<AdmittedCall, GatewayRefusal> {
-    let within_rate = context.admission.control().try_admit(arrived);
+    let metadata = context.adapter.codec().read_head(&head);
+    let within_rate = context.admission.try_admit(metadata.as_ref().ok(), arrived);
     let table = context.table.borrow().clone();
     let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
     let limit = context.limits().body_bytes;
     let (body, memory) = read_body(context, &head, body, limit).await?;
     let table = table?;
-    let metadata =
-        context.adapter.codec().read_head(&head).map_err(|error| {
-            log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem })
-        })?;
+    let metadata = metadata
+        .map_err(|error| log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem }))?;
     let CallRoute { route, team, priority, homes } = find_route(&table, &head, &metadata)?;
     if !within_rate {
         return Err(shed_call(context, &metadata, team.as_ref()));
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -476,6 +476,13 @@
         }
     }
 
+    /// Records the writes of a stream that ended, for the cost of later calls.
+    pub(super) fn record_stream_cost(&self, writes: u32) {
+        if let Some(prompt) = &self.admitted.metadata.prompt {
+            self.context.admission.control().record_stream(prompt.tokens_out, writes);
+        }
+    }
+
     pub(super) fn context(&self) -> &GatewayContext<A> {
         &self.context
     }
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 
 use super::GatewayContext;
-use super::adapter::GatewayAdapter;
+use super::adapter::{CallMetadata, GatewayAdapter};
 use super::events::ControlEvent;
 use crate::decision::direct::OverloadControl;
 use crate::ids::TeamId;
@@ -41,6 +41,14 @@
         self.control.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a call and returns whether the processor has time for it; `call` is absent when its
+    /// head is invalid.
+    pub(super) fn try_admit(&self, call: Option<&CallMetadata>, now: Instant) -> bool {
+        let mut control = self.control();
+        let cost = control.cost_of(call.and_then(|call| call.prompt.as_ref()));
+        control.try_admit(cost, now)
+    }
+
     /// Counts the work of a call that was refused because of overload.
     pub(super) fn record_shed(&self, team: &TeamId, work: f64) {
         *self.shed().entry(TeamId::clone(team)).or_default() += work;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -77,13 +77,14 @@
     stream: Option<RunningStream>,
     memory: BufferMemory,
     first_event_seen: bool,
+    writes: u32,
 }
 
 impl<A: GatewayAdapter> RelayStream<A> {
     /// Starts to relay a stream.
     pub(super) fn new(run: CallRun<A>, stream: RunningStream) -> Self {
         let memory = BufferMemory::new(Arc::clone(&run.context().memory));
-        Self { run, stream: Some(stream), memory, first_event_seen: false }
+        Self { run, stream: Some(stream), memory, first_event_seen: false, writes: 0 }
     }
 
     /// Stops the relay and returns the run of the call.
@@ -143,6 +144,7 @@
     }
 
     fn record_events(&mut self) {
+        self.writes += 1;
         if let Some(stream) = &mut self.stream
             && !stream.guard.first_event_seen()
         {
@@ -161,6 +163,7 @@
             stream.guard.end(CallOutcome::Completed);
             let pool = &self.run.context().pool;
             pool.release(stream.lease, stream.grant.address, stream.metadata.idle_limit);
+            self.run.record_stream_cost(self.writes);
         }
         self.run.log.record_completion();
     }
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    CallLimiter, FairLevel, LoadSample, OverloadControl, OverloadDetector, PeerReport, PeerTable,
-    RetryBudget, SlidingCounter, StageChange, TeamDemand, TeamUsage, TrialCount, TrialStage,
-    VersionTrial,
+    CallLimiter, CostEstimate, FairLevel, LoadSample, OverloadControl, OverloadDetector,
+    PeerReport, PeerTable, PromptShape, RetryBudget, SlidingCounter, StageChange, TeamDemand,
+    TeamUsage, TrialCount, TrialStage, VersionTrial,
 };
 use godwitcrank::ids::NodeId;
 use godwitcrank::routing::MoveOrder;
@@ -246,7 +246,7 @@
         let taken = (0..calls)
             .filter(|number| {
                 let passed = f64::from(*number) / f64::from(calls_per_second);
-                limiter.try_admit(start + Duration::from_secs_f64(passed))
+                limiter.try_admit(1.0, start + Duration::from_secs_f64(passed))
             })
             .count();
         let refused = f64::from(calls) - taken as f64;
@@ -262,7 +262,7 @@
     LoadSample {
         lateness: Duration::from_millis(lateness),
         connections_used: 0.1,
-        calls,
+        calls: calls as f64,
         interval: Duration::from_millis(100),
     }
 }
@@ -334,7 +334,7 @@
         .map(|interval| {
             let start = from + INTERVAL * interval;
             let times = (0..calls).map(|call| start + INTERVAL * call / calls);
-            let admitted = times.filter(|time| control.try_admit(*time)).count() as u32;
+            let admitted = times.filter(|time| control.try_admit(1.0, *time)).count() as u32;
             control.record(lateness, 0.1, INTERVAL, start + INTERVAL);
             admitted
         })
@@ -364,3 +364,44 @@
     let late = offer_calls(&mut control, 45, Duration::from_millis(60), 30, later);
     expect_that!(late[20..].iter().sum::<u32>(), le(10 * 25), "{late:?}");
 }
+
+/// Guards against an overloaded router that spends most of its processor time on calls with long
+/// answers, and refuses several times as many calls with short ones.
+#[gtest]
+fn try_admit_late_prefers_calls_with_short_answers() {
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let start = Instant::now();
+    let mut control = OverloadControl::new(0.1, start);
+    let call = |tokens_out| PromptShape { tokens_in: 1_000, tokens_out, parts: Vec::new() };
+    let (mut short, mut long) = (0, 0);
+    for interval in 0..60 {
+        let from = start + INTERVAL * interval;
+        for number in 0..40 {
+            let is_long = (7 * number + 3 * interval) % 4 == 0;
+            let cost = control.cost_of(Some(&call(if is_long { 240 } else { 24 })));
+            let is_admitted = control.try_admit(cost, from + INTERVAL * number / 40);
+            if interval >= 20 && is_admitted {
+                *(if is_long { &mut long } else { &mut short }) += 1;
+            }
+        }
+        control.record(Duration::from_millis(60), 0.1, INTERVAL, from + INTERVAL);
+    }
+    // 40 intervals with 30 short calls each; the processor bears about 25 calls of mean cost.
+    expect_that!(short, ge(40 * 30 / 2));
+    expect_that!(long, le(short / 10));
+}
+
+/// Guards against a cost that does not follow the length of the answers on a deployment where an
+/// event holds fewer tokens.
+#[gtest]
+fn cost_of_follows_writes_of_ended_streams() {
+    let mut costs = CostEstimate::default();
+    let prompt = PromptShape { tokens_in: 1_000, tokens_out: 100, parts: Vec::new() };
+    let before = costs.cost_of(Some(&prompt));
+    for _ in 0..300 {
+        costs.record_stream(100, 50);
+    }
+    let after = costs.cost_of(Some(&prompt));
+    expect_that!(after, ge(2.0 * before));
+    expect_that!(costs.cost_of(None), lt(before));
+}
--- a/tests/testsuite/fair_margin.rs
+++ b/tests/testsuite/fair_margin.rs
@@ -87,6 +87,7 @@
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
+        long_answers: 0.0,
         length: Duration::from_secs(14),
         seed: 0,
     };
@@ -106,6 +107,7 @@
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
+        long_answers: 0.0,
         length: Duration::from_secs(14),
         seed: 0,
     };
@@ -129,8 +131,28 @@
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
+        long_answers: 0.0,
         length: Duration::from_secs(14),
         seed: 0,
     };
     expect_margins(&plan, &["one-router"], 0);
 }
+
+/// Guards against an overloaded router that spends its processor time on calls with long answers
+/// and little other work, so that a large team at small routers gets far less than the others.
+/// Fixed: two large teams, one of them at small routers; every third call has a long answer.
+#[gtest]
+fn margin_large_team_with_long_answers() {
+    let mut teams = vec![team("one-router", 300.0, Some(0)), team("all-routers", 500.0, None)];
+    teams.extend((0..10).map(|index| team(&format!("small-{index}"), 10.0, None)));
+    let plan = FleetPlan {
+        routers: vec![SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, LARGE, LARGE],
+        engines: 16,
+        stated_rate: 2_800_000.0,
+        teams,
+        long_answers: 0.33,
+        length: Duration::from_secs(14),
+        seed: 0,
+    };
+    expect_margins(&plan, &["one-router"], WARM_UP_SECONDS);
+}
--- a/tests/testsuite/support/fleet_plan.rs
+++ b/tests/testsuite/support/fleet_plan.rs
@@ -32,6 +32,8 @@
     pub stated_rate: f64,
     /// The teams.
     pub teams: Vec<SimulatedTeam>,
+    /// Fraction of the calls that have a long answer and little other work.
+    pub long_answers: f64,
     /// Simulated time.
     pub length: Duration,
     /// Seed of the arrivals.
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -20,10 +20,11 @@
 
 use super::fleet_plan::{FleetPlan, TeamRecord, dispatcher};
 
-/// Processor time of a call on a whole core until it is dispatched, of its answer, and of a call
-/// that is refused for overload.
+/// Processor time of a call on a whole core until it is dispatched, of its answer, of each write of
+/// a long answer, and of a call that is refused for overload.
 const CALL_PROCESSOR_TIME: Duration = Duration::from_micros(120);
 const ANSWER_PROCESSOR_TIME: Duration = Duration::from_micros(80);
+const WRITE_PROCESSOR_TIME: Duration = Duration::from_micros(16);
 const REFUSAL_PROCESSOR_TIME: Duration = Duration::from_micros(50);
 
 /// Prompt tokens that an engine reads per second.
@@ -32,6 +33,10 @@
 /// Time from the start of a prompt's answer to the end of the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(80);
 
+/// Writes of a long answer, and the time between two of them.
+const LONG_ANSWER_WRITES: u32 = 40;
+const WRITE_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Time after which the balancer stops sending callers to a router that is not ready.
 const ROTATION_DELAY: Duration = Duration::from_millis(1500);
 
@@ -49,9 +54,17 @@
 const SHARED_TOKENS: u32 = 6_300;
 const OWN_TOKENS: u32 = 2_900;
 
-/// Output of each call, in tokens.
+/// Output of a call with a short answer, in tokens.
 const OUTPUT_TOKENS: u32 = 50;
 
+/// Prompt and output of a call with a long answer, in tokens.
+const LONG_ANSWER_SHARED_TOKENS: u32 = 170;
+const LONG_ANSWER_OWN_TOKENS: u32 = 540;
+const LONG_ANSWER_OUTPUT_TOKENS: u32 = 280;
+
+/// First id of the shared prompt parts of calls with a long answer.
+const LONG_ANSWER_PARTS: u64 = 1 << 32;
+
 const OBJECTIVE: Duration = Duration::from_millis(500);
 const DEADLINE: Duration = Duration::from_secs(5);
 
@@ -84,8 +97,9 @@
     Arrival { router: usize, call: SimulatedCall },
     Retry { call: SimulatedCall },
     Admitted { router: usize, call: SimulatedCall, arrived: Instant },
-    FirstEvent { router: usize, grant: GrantId, sent_at: Instant },
+    FirstEvent { router: usize, grant: GrantId, sent_at: Instant, writes: u32 },
     FirstEventRead { router: usize, grant: GrantId, sent_at: Instant },
+    Write { router: usize, grant: GrantId, left: u32 },
     End { router: usize, grant: GrantId },
     Tick,
     DeadlineTick,
@@ -188,11 +202,16 @@
                 self.admit(router, call);
             }
             FleetEvent::Admitted { router, call, arrived } => self.enqueue(router, call, arrived),
-            FleetEvent::FirstEvent { router, grant, sent_at } => {
+            FleetEvent::FirstEvent { router, grant, sent_at, writes } => {
                 let delay = self.process(router, ANSWER_PROCESSOR_TIME);
                 self.schedule(delay, FleetEvent::FirstEventRead { router, grant, sent_at });
-                self.schedule(delay + ANSWER_TIME, FleetEvent::End { router, grant });
+                if writes > 1 {
+                    self.schedule(delay, FleetEvent::Write { router, grant, left: writes });
+                } else {
+                    self.schedule(delay + ANSWER_TIME, FleetEvent::End { router, grant });
+                }
             }
+            FleetEvent::Write { router, grant, left } => self.write(router, grant, left),
             FleetEvent::FirstEventRead { router, grant, sent_at } => {
                 let waited = self.now - sent_at;
                 let state = &mut self.routers[router];
@@ -228,7 +247,23 @@
         self.schedule_clump(team);
     }
 
+    /// Writes a part of a long answer, of which `left` parts are left.
+    fn write(&mut self, router: usize, grant: GrantId, left: u32) {
+        let delay = self.process(router, WRITE_PROCESSOR_TIME);
+        if left > 1 {
+            let next = FleetEvent::Write { router, grant, left: left - 1 };
+            self.schedule(delay + WRITE_INTERVAL, next);
+        } else {
+            let control = &mut self.routers[router].control;
+            control.record_stream(LONG_ANSWER_OUTPUT_TOKENS, LONG_ANSWER_WRITES);
+            self.schedule(delay, FleetEvent::End { router, grant });
+        }
+    }
+
     fn prompt(&mut self, team: usize) -> PromptShape {
+        if self.plan.long_answers > 0.0 && self.random.random_bool(self.plan.long_answers) {
+            return long_answer_prompt(team);
+        }
         let shared = team as u64 * SHARED_PARTS + self.random.random_range(0..SHARED_PARTS);
         PromptShape {
             tokens_in: SHARED_TOKENS + OWN_TOKENS,
@@ -268,7 +303,9 @@
     /// Takes a call into the queue of a router's processor, or refuses it.
     fn admit(&mut self, router: usize, call: SimulatedCall) {
         let now = self.now;
-        if self.routers[router].control.try_admit(now) {
+        let control = &mut self.routers[router].control;
+        let cost = control.cost_of(Some(&call.prompt));
+        if control.try_admit(cost, now) {
             let delay = self.process(router, CALL_PROCESSOR_TIME);
             self.schedule(delay, FleetEvent::Admitted { router, call, arrived: now });
         } else {
@@ -322,12 +359,14 @@
         self.records[name].got[second] += call_work(Some(&call.prompt));
         let engine = &mut self.engines[upstream];
         let is_cached = !engine.cached.insert(call.prompt.parts[0].id);
-        let tokens = if is_cached { OWN_TOKENS } else { SHARED_TOKENS + OWN_TOKENS };
+        let tokens = if is_cached { call.prompt.parts[1].tokens } else { call.prompt.tokens_in };
         let reading = Duration::from_secs_f64(f64::from(tokens) / ENGINE_RATE);
         engine.busy_until = engine.busy_until.max(self.now) + reading;
         let delay = engine.busy_until - self.now;
         let sent_at = self.now;
-        self.schedule(delay, FleetEvent::FirstEvent { router, grant, sent_at });
+        let has_long_answer = call.prompt.tokens_out == LONG_ANSWER_OUTPUT_TOKENS;
+        let writes = if has_long_answer { LONG_ANSWER_WRITES } else { 1 };
+        self.schedule(delay, FleetEvent::FirstEvent { router, grant, sent_at, writes });
     }
 
     /// Samples the load of all routers and exchanges their reports.
@@ -366,3 +405,15 @@
         self.now.duration_since(self.start).as_secs() as usize
     }
 }
+
+/// Returns the prompt of a call with a long answer.
+fn long_answer_prompt(team: usize) -> PromptShape {
+    PromptShape {
+        tokens_in: LONG_ANSWER_SHARED_TOKENS + LONG_ANSWER_OWN_TOKENS,
+        tokens_out: LONG_ANSWER_OUTPUT_TOKENS,
+        parts: vec![
+            PromptPart { id: LONG_ANSWER_PARTS + team as u64, tokens: LONG_ANSWER_SHARED_TOKENS },
+            PromptPart { id: u64::MAX, tokens: LONG_ANSWER_OWN_TOKENS },
+        ],
+    }
+}
