--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -35,6 +35,7 @@
 /// A call in progress at an upstream.
 #[derive(Debug)]
 struct GrantedCall {
+    call: CallId,
     upstream: UpstreamId,
     team: Option<TeamId>,
     fingerprint: CallFingerprint,
@@ -239,9 +240,14 @@
         self.waiting.push(WaitingCall::new(call, now));
     }
 
-    /// Removes a pending call whose caller left.
-    pub fn cancel(&mut self, id: CallId) {
+    /// Removes a pending call whose caller left, or ends its grant: the caller may leave after the
+    /// decision is made and before it is read.
+    pub fn cancel(&mut self, id: CallId, now: Instant) {
         self.waiting.retain(|waiting| waiting.call.id != id);
+        let unread = self.grants.iter().find(|(_, granted)| granted.call == id);
+        if let Some(grant) = unread.map(|(grant, _)| *grant) {
+            self.record_end(grant, CallOutcome::Unsent, false, now);
+        }
     }
 
     /// Returns when the next pending call has to be refused.
@@ -417,6 +423,7 @@
         self.grants.insert(
             id,
             GrantedCall {
+                call: call.id,
                 upstream: Arc::clone(upstream),
                 team: call.team.clone(),
                 fingerprint: call.fingerprint,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -142,7 +142,7 @@
             }
             ControlEvent::Cancel(id) => {
                 self.replies.swap_remove(&id);
-                self.dispatcher.cancel(id);
+                self.dispatcher.cancel(id, now);
             }
             ControlEvent::FirstEvent { grant, waited, own_delay } => {
                 self.dispatcher.record_first_event(grant, waited, own_delay, now);
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -120,7 +120,9 @@
     let id = call.id;
     dispatcher.enqueue(call, now);
     let grant = granted(&dispatcher.dispatch(now)).pop().map(|(_, grant)| grant);
-    dispatcher.cancel(id);
+    if grant.is_none() {
+        dispatcher.cancel(id, now);
+    }
     grant
 }
 
@@ -677,3 +679,17 @@
     let overdue = calls_sent_when_events_are_due(own_delay, Duration::from_millis(700));
     expect_that!(overdue, le(2));
 }
+
+/// Guards against upstreams that stay full after a flood: a caller may leave after its call was
+/// granted an upstream and before the router read that decision.
+#[gtest]
+fn cancel_granted_call_frees_upstream() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(&["a"], now);
+    let id = 1;
+    dispatcher.enqueue(call(id, "team", prompt(1, 0, 2_000), now), now);
+    assert_that!(granted(&dispatcher.dispatch(now)), len(eq(1)));
+    dispatcher.cancel(id, now);
+    expect_that!(dispatcher.granted(), eq(0));
+    expect_that!(dispatcher.upstreams()["a"].own, eq(PeerLoad::default()));
+}
