--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -10,7 +10,7 @@
 use super::capacity::FleetBounds;
 use super::fleet_demand::FleetDemand;
 use super::load::UpstreamLoad;
-use super::part_suspects::{BrokenCall, PartSuspects, PartVerdict};
+use super::part_suspects::{PartSuspects, PartVerdict};
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_usage::FairLevel;
@@ -18,7 +18,6 @@
 use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
-use crate::decision::quarantine::crash_id;
 use crate::ids::{
     CallFingerprint, CallId, DataCentreId, GrantId, NodeId, PromptPartId, RegionId, ServiceId,
     TeamId, UpstreamId,
@@ -34,21 +33,21 @@
 
 /// A call in progress at an upstream.
 #[derive(Debug)]
-struct GrantedCall {
-    call: CallId,
-    upstream: UpstreamId,
-    team: Option<TeamId>,
-    fingerprint: CallFingerprint,
-    shared_parts: Vec<PromptPartId>,
-    uncached_tokens: u64,
-    queued_tokens: u64,
-    held_tokens: u64,
-    work: f64,
+pub(super) struct GrantedCall {
+    pub(super) call: CallId,
+    pub(super) upstream: UpstreamId,
+    pub(super) team: Option<TeamId>,
+    pub(super) fingerprint: CallFingerprint,
+    pub(super) shared_parts: Vec<PromptPartId>,
+    pub(super) uncached_tokens: u64,
+    pub(super) queued_tokens: u64,
+    pub(super) held_tokens: u64,
+    pub(super) work: f64,
     /// When the first event is expected.
-    due_at: Instant,
-    first_event_at: Option<Instant>,
+    pub(super) due_at: Instant,
+    pub(super) first_event_at: Option<Instant>,
     /// Whether the first event has probably arrived and lies unread at this router.
-    is_unread: bool,
+    pub(super) is_unread: bool,
 }
 
 /// Dispatcher of one router.
@@ -64,15 +63,15 @@
     pub(super) trials: IndexMap<ServiceId, VersionTrial>,
     waiting: Vec<WaitingCall>,
     pub(super) changed: ChangedUpstreams,
-    grants: IndexMap<GrantId, GrantedCall>,
-    next_grant: GrantId,
+    pub(super) grants: IndexMap<GrantId, GrantedCall>,
+    pub(super) next_grant: GrantId,
     pub(super) demand: FleetDemand,
     work: TeamWork,
     pub(super) peers: PeerTable,
-    suspects: SuspectList,
-    part_suspects: PartSuspects,
+    pub(super) suspects: SuspectList,
+    pub(super) part_suspects: PartSuspects,
     /// Time for which the last first event lay at this router before it was read.
-    own_delay: Duration,
+    pub(super) own_delay: Duration,
     pub(super) store_recovered_at: Option<Instant>,
 }
 
@@ -358,7 +357,7 @@
         self.part_suspects.refusal(prompt, position, now)
     }
 
-    fn crash_count(&self, fingerprint: CallFingerprint) -> u32 {
+    pub(super) fn crash_count(&self, fingerprint: CallFingerprint) -> u32 {
         if self.suspects.is_cleared(fingerprint) {
             return 0;
         }
@@ -441,104 +440,6 @@
         );
         grant
     }
-
-    /// Records the first event of a call's answer, `waited` after the call was sent. The event was
-    /// read about `own_delay` after it arrived at the router.
-    pub fn record_first_event(
-        &mut self,
-        grant: GrantId,
-        waited: Duration,
-        own_delay: Duration,
-        now: Instant,
-    ) {
-        let Some(call) = self.grants.get_mut(&grant) else { return };
-        if call.first_event_at.replace(now).is_some() {
-            return;
-        }
-        self.own_delay = own_delay;
-        self.part_suspects.record_alive(&call.upstream, grant, now);
-        self.changed.insert(&call.upstream);
-        if let Some(load) = self.upstreams.get_mut(&call.upstream) {
-            load.end_wait(call.uncached_tokens, std::mem::take(&mut call.is_unread));
-            load.record_first_event(call.queued_tokens, waited.saturating_sub(own_delay));
-        }
-    }
-
-    /// Records the end of a call; returns the upstream when it probably went down.
-    pub fn record_end(
-        &mut self,
-        grant: GrantId,
-        outcome: CallOutcome,
-        late: bool,
-        now: Instant,
-    ) -> Option<UpstreamId> {
-        let call = self.grants.swap_remove(&grant)?;
-        self.changed.insert(&call.upstream);
-        match outcome {
-            CallOutcome::Broken => {
-                self.suspects.record(call.fingerprint, now);
-                self.suspect_parts(&call, now);
-            }
-            CallOutcome::Completed => {
-                if self.crash_count(call.fingerprint) > 0 {
-                    self.suspects.clear(call.fingerprint, now);
-                }
-                self.part_suspects.record_alive(&call.upstream, grant, now);
-                self.part_suspects.record_answered(&call.shared_parts, now);
-            }
-            _ => {}
-        }
-        if matches!(outcome, CallOutcome::Declined | CallOutcome::Unreachable)
-            && let Some(team) = &call.team
-        {
-            // The call did not run, so its work is not charged to the team.
-            self.demand.record_sent(team, -call.work, now);
-        }
-        let load = self.upstreams.get_mut(&call.upstream)?;
-        load.own.running = load.own.running.saturating_sub(1);
-        load.own.held_tokens = load.own.held_tokens.saturating_sub(call.held_tokens);
-        if call.first_event_at.is_none() {
-            load.end_wait(call.uncached_tokens, call.is_unread);
-        }
-        if let Some(trial) = self.trials.get_mut(&load.entry.service) {
-            let counted = !matches!(
-                outcome,
-                CallOutcome::Abandoned
-                    | CallOutcome::Unsent
-                    | CallOutcome::Declined
-                    | CallOutcome::Misdirected
-            );
-            if counted {
-                let good = outcome == CallOutcome::Completed && !late;
-                trial.record(load.entry.version == trial.order().target, good);
-            }
-        }
-        let down = load.record_outcome(outcome, now);
-        if load.is_backing_off(now) {
-            // Pending calls with this candidate need other ones.
-            self.changed = ChangedUpstreams::All;
-        }
-        if !down {
-            return None;
-        }
-        // The upstream has probably restarted, and is cold when it returns.
-        if let Some(service) = self.services.get(&load.entry.service) {
-            load.cold.mark_cold_until(now + service.entry.cold_period);
-        }
-        Some(call.upstream)
-    }
-
-    /// Blames the crash of an upstream, if it is one, on the parts of a call that it broke.
-    fn suspect_parts(&mut self, call: &GrantedCall, now: Instant) {
-        let started = self.upstreams.get(&call.upstream).and_then(|load| load.entry.started);
-        let broken = BrokenCall {
-            upstream: &call.upstream,
-            crash: crash_id(&call.upstream, &format!("{started:?}")),
-            parts: &call.shared_parts,
-            answering_for: call.first_event_at.map(|at| now.saturating_duration_since(at)),
-        };
-        self.part_suspects.record_broken(&broken, self.next_grant, now);
-    }
 }
 
 /// Returns the counts of the routers that take part in a service's version move.
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod call_cost;
+mod call_progress;
 mod candidates;
 mod capacity;
 mod dispatcher;
