--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -116,6 +116,9 @@
     /// No upstream has capacity in time.
     #[display("no-capacity")]
     NoCapacity,
+    /// All upstreams that may run the call asked for a pause.
+    #[display("upstreams-paused")]
+    Paused,
     /// No usable upstream of the service is known.
     #[display("no-upstream")]
     NoUpstream,
--- a/src/decision/direct/call_progress.rs
+++ b/src/decision/direct/call_progress.rs
@@ -1,15 +1,37 @@
 //! Records the progress and the end of calls that were sent to upstreams.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::call::CallOutcome;
 use super::dispatcher::{DirectDispatcher, GrantedCall};
 use super::part_suspects::BrokenCall;
+use super::upstream_notices::{NoticedUpstream, UpstreamNotice};
 use super::waiting::ChangedUpstreams;
 use crate::decision::quarantine::crash_id;
 use crate::ids::{GrantId, UpstreamId};
 
 impl DirectDispatcher {
+    /// Records a statement in the answer to a call; returns what it changes.
+    pub fn record_notice(
+        &mut self,
+        grant: GrantId,
+        notice: UpstreamNotice,
+        now: Instant,
+    ) -> Option<NoticedUpstream> {
+        let call = self.grants.get(&grant)?;
+        if !self.notices.record(&call.upstream, call.started, notice, now) {
+            return None;
+        }
+        // Pending calls with this candidate need other ones.
+        self.changed = ChangedUpstreams::All;
+        let until = self.notices.paused_until(&call.upstream, call.started, now);
+        Some(NoticedUpstream {
+            upstream: Arc::clone(&call.upstream),
+            left_out_for: until.map(|until| until.duration_since(now)),
+        })
+    }
+
     /// Records the first event of a call's answer, `waited` after the call was sent. The event was
     /// read about `own_delay` after it arrived at the router.
     pub fn record_first_event(
@@ -24,6 +46,7 @@
             return;
         }
         self.own_delay = own_delay;
+        self.notices.record_answer(&call.upstream, grant);
         self.part_suspects.record_alive(&call.upstream, grant, now);
         self.changed.insert(&call.upstream);
         if let Some(load) = self.upstreams.get_mut(&call.upstream) {
@@ -42,6 +65,11 @@
     ) -> Option<UpstreamId> {
         let call = self.grants.swap_remove(&grant)?;
         self.changed.insert(&call.upstream);
+        if matches!(outcome, CallOutcome::Completed | CallOutcome::Failed) {
+            self.notices.record_answer(&call.upstream, grant);
+        } else {
+            self.notices.record_unanswered(&call.upstream, grant);
+        }
         match outcome {
             CallOutcome::Broken => {
                 self.suspects.record(call.fingerprint, now);
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -15,6 +15,7 @@
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_usage::FairLevel;
 use super::team_work::TeamWork;
+use super::upstream_notices::{UpstreamNotices, UpstreamStart};
 use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
@@ -36,6 +37,8 @@
 pub(super) struct GrantedCall {
     pub(super) call: CallId,
     pub(super) upstream: UpstreamId,
+    /// Start of the upstream's process as known when the call was sent.
+    pub(super) started: UpstreamStart,
     pub(super) team: Option<TeamId>,
     pub(super) fingerprint: CallFingerprint,
     pub(super) shared_parts: Vec<PromptPartId>,
@@ -70,6 +73,7 @@
     pub(super) peers: PeerTable,
     pub(super) suspects: SuspectList,
     pub(super) part_suspects: PartSuspects,
+    pub(super) notices: UpstreamNotices,
     /// Time for which the last first event lay at this router before it was read.
     pub(super) own_delay: Duration,
     pub(super) store_recovered_at: Option<Instant>,
@@ -101,6 +105,7 @@
             peers: PeerTable::default(),
             suspects: SuspectList::default(),
             part_suspects: PartSuspects::default(),
+            notices: UpstreamNotices::default(),
             own_delay: Duration::ZERO,
             store_recovered_at: None,
         }
@@ -138,6 +143,16 @@
         &mut self.trials
     }
 
+    /// Returns the number of upstreams that leave or pause by their own statement.
+    pub fn left_out(&self, now: Instant) -> usize {
+        self.notices.left_out_count(now)
+    }
+
+    /// Returns the upstreams whose pauses have ended since the last call.
+    pub fn take_resumed(&mut self) -> Vec<UpstreamId> {
+        self.notices.take_resumed()
+    }
+
     /// Returns the number of pending calls.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -333,6 +348,11 @@
         let Some((upstream, uncached)) =
             self.select_upstream(call, &candidates, waiting.queued_at, now)
         else {
+            if candidates.is_empty()
+                && let Some(refusal) = self.notice_refusal(call, waiting.placement_deadline(), now)
+            {
+                return Some(refusal);
+            }
             if now < waiting.placement_deadline() {
                 waiting.candidates = Some(candidates);
                 return None;
@@ -404,12 +424,14 @@
         load.own.waiting_tokens += uncached;
         load.own.held_tokens += held_tokens;
         load.cold.record(now);
+        let started = load.entry.started;
         if let Some(prompt) = &call.prompt {
             load.cache.record(prompt, UpstreamLoad::cache_capacity(memory_tokens));
         }
         let id = self.next_grant;
         self.next_grant += 1;
         let queued_tokens = load.waiting_tokens();
+        self.notices.record_send(upstream, id);
         let grant = CallGrant {
             id,
             upstream: Arc::clone(upstream),
@@ -424,6 +446,7 @@
             GrantedCall {
                 call: call.id,
                 upstream: Arc::clone(upstream),
+                started,
                 team: call.team.clone(),
                 fingerprint: call.fingerprint,
                 shared_parts: call.prompt.as_ref().map_or_else(Vec::new, |prompt| {
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -22,6 +22,7 @@
 mod sustainable_rate;
 mod team_usage;
 mod team_work;
+mod upstream_notices;
 mod version_trial;
 mod view_freshness;
 mod waiting;
@@ -43,6 +44,9 @@
 pub use suspects::SuspectList;
 pub use team_usage::{FairLevel, TeamDemand, TeamUsage};
 pub use team_work::{TeamWork, WorkCount};
+pub use upstream_notices::{
+    MAX_PAUSE, NoticedUpstream, UpstreamNotice, UpstreamNotices, UpstreamStart,
+};
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
 pub use view_freshness::ViewFreshness;
 pub use window::{RetryBudget, SlidingCounter};
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::call::{BudgetCharge, PendingCall};
+use super::call::{BudgetCharge, CallDecision, PendingCall, RefusalCause};
 use super::candidates::CandidateSet;
 use super::capacity::{
     CallNeeds, cold_share, connection_share, expected_uncached, has_capacity, send_cost,
     start_fractions,
 };
 use super::dispatcher::DirectDispatcher;
+use super::load::UpstreamLoad;
 use super::version_trial::TrialStage;
+use super::waiting::retry_after;
 use crate::ids::{DataCentreId, UpstreamId};
 
 impl DirectDispatcher {
@@ -24,13 +26,10 @@
     fn usable_upstreams(&mut self, call: &PendingCall, now: Instant) -> Vec<usize> {
         let candidates: Vec<usize> = self
             .upstreams
-            .values()
+            .iter()
             .enumerate()
-            .filter(|(_, load)| {
-                load.entry.service == call.service
-                    && !load.entry.leaving
-                    && !self.taken_out.contains(&load.entry.data_centre)
-                    && self.allows_data_centre(call, &load.entry.data_centre)
+            .filter(|(_, (id, load))| {
+                self.may_run(call, load) && !self.notices.is_left_out(id, load.entry.started, now)
             })
             .map(|(index, _)| index)
             .collect();
@@ -47,6 +46,39 @@
         if untried.is_empty() && call.charge != BudgetCharge::Retry { candidates } else { untried }
     }
 
+    /// Returns whether an upstream may run a call, by what the store says of both.
+    fn may_run(&self, call: &PendingCall, load: &UpstreamLoad) -> bool {
+        load.entry.service == call.service
+            && !load.entry.leaving
+            && !self.taken_out.contains(&load.entry.data_centre)
+            && self.allows_data_centre(call, &load.entry.data_centre)
+    }
+
+    /// Returns the refusal of a call whose upstreams all leave or pause by their own statements,
+    /// unless one of them is due back before `until`.
+    pub(super) fn notice_refusal(
+        &self,
+        call: &PendingCall,
+        until: Instant,
+        now: Instant,
+    ) -> Option<CallDecision> {
+        let left_out: Vec<Option<Instant>> = self
+            .upstreams
+            .iter()
+            .filter(|(_, load)| self.may_run(call, load))
+            .map(|(id, load)| self.notices.paused_until(id, load.entry.started, now))
+            .collect();
+        if left_out.is_empty() {
+            return None;
+        }
+        let (cause, retry_after) = match left_out.into_iter().flatten().min() {
+            Some(back_at) if back_at <= until => return None,
+            Some(back_at) => (RefusalCause::Paused, back_at.duration_since(now)),
+            None => (RefusalCause::NoUpstream, retry_after(call)),
+        };
+        Some(CallDecision::Refuse { cause, retry_after })
+    }
+
     /// Returns whether the call may run in a data centre. A data centre of unknown region runs only
     /// calls without home regions.
     fn allows_data_centre(&self, call: &PendingCall, data_centre: &DataCentreId) -> bool {
@@ -93,6 +125,7 @@
             if load.own.running >= connections
                 || !load.cold.allows(share, now)
                 || (load.needs_probe() && load.own.running > 0)
+                || self.notices.awaits_probe(id, load.entry.started)
             {
                 continue;
             }
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -11,7 +11,7 @@
 use derive_more::{Display, Error};
 use http::{HeaderMap, Response, StatusCode, request, response};
 
-use crate::decision::direct::{PromptShape, RefusalCause, TrialStage};
+use crate::decision::direct::{PromptShape, RefusalCause, TrialStage, UpstreamNotice};
 use crate::ids::{
     ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreRevision, UpstreamId, VersionId,
 };
@@ -162,6 +162,18 @@
     pub misdirected: bool,
     /// Time that the upstream keeps an idle connection open, if stated.
     pub idle_limit: Option<Duration>,
+    /// Whether the upstream states that it is about to stop.
+    pub leaving: bool,
+    /// Time for which the upstream wants no further calls of this router, if stated.
+    pub pause: Option<Duration>,
+}
+
+impl AnswerMetadata {
+    /// Returns what the upstream states about itself.
+    pub fn notices(&self) -> impl Iterator<Item = UpstreamNotice> {
+        let leaving = self.leaving.then_some(UpstreamNotice::Leaving);
+        leaving.into_iter().chain(self.pause.map(UpstreamNotice::Pause))
+    }
 }
 
 /// Refusal or failure that the gateway answers itself.
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -313,6 +313,9 @@
             guard.end(CallOutcome::Broken);
             return AttemptOutcome::Failed(call.executed(), None);
         }
+        if self.is_certain_answer(&metadata, &lease) {
+            guard.record_notices(self.admitted.id, &metadata, head.status);
+        }
         let is_stream = self.admitted.route.kind == CallKind::Stream;
         if is_stream && head.status.is_success() && metadata.signed {
             self.release_body();
@@ -354,6 +357,12 @@
         }
     }
 
+    /// Returns whether an answer belongs to this call without doubt: it names it, or is the first one
+    /// on its connection.
+    fn is_certain_answer(&self, answer: &AnswerMetadata, lease: &LeasedConnection) -> bool {
+        answer.attempt.is_some() || !lease.is_reused()
+    }
+
     /// Releases the memory of the body once the call runs and cannot run again.
     fn release_body(&mut self) {
         if self.admitted.route.may_retry() {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -18,8 +19,8 @@
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, DirectDispatcher, PartVerdict, PeerReport, StageChange, TrialStage,
-    ViewFreshness, trial_counts,
+    CallDecision, CallOutcome, DirectDispatcher, NoticedUpstream, PartVerdict, PeerReport,
+    StageChange, TrialStage, UpstreamNotice, ViewFreshness, trial_counts,
 };
 use crate::ids::{CallId, Incarnation, NodeId, StoreRevision};
 use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
@@ -147,6 +148,12 @@
             ControlEvent::FirstEvent { grant, waited, own_delay } => {
                 self.dispatcher.record_first_event(grant, waited, own_delay, now);
             }
+            ControlEvent::Notice { grant, call, notice, status } => {
+                if let Some(noticed) = self.dispatcher.record_notice(grant, notice, now) {
+                    self.context.metrics.count_notice(notice);
+                    log_notice(&noticed, notice, call, status);
+                }
+            }
             ControlEvent::Ended { grant, outcome, late } => {
                 if let Some(upstream) = self.dispatcher.record_end(grant, outcome, late, now) {
                     log::warn!(
@@ -247,6 +254,11 @@
         for part in ViewPart::ALL {
             metrics.record_view_age(part, self.freshness.age(part, now));
         }
+        for upstream in self.dispatcher.take_resumed() {
+            log::info!(upstream = &*upstream; "pause of an upstream ended");
+        }
+        let left_out = self.dispatcher.left_out(now);
+        metrics.left_out.set(i64::try_from(left_out).unwrap_or(i64::MAX));
         let refused_parts = self.dispatcher.refused_parts();
         metrics.refused_parts.set(i64::try_from(refused_parts).unwrap_or(i64::MAX));
         metrics.routers.set(i64::from(self.dispatcher.peers().router_count(now)));
@@ -404,6 +416,21 @@
     }
 }
 
+fn log_notice(noticed: &NoticedUpstream, notice: UpstreamNotice, call: CallId, status: StatusCode) {
+    let upstream = &*noticed.upstream;
+    let status = status.as_u16();
+    match noticed.left_out_for {
+        Some(pause) => log::info!(
+            upstream, notice:% = notice, id = call, status, pause_ms = pause.as_millis() as u64;
+            "upstream asked for a pause; it gets no calls"
+        ),
+        None => log::info!(
+            upstream, notice:% = notice, id = call, status;
+            "upstream says that it leaves; it gets no more calls"
+        ),
+    }
+}
+
 /// Creates the channels from the control thread to the tasks that do I/O for it.
 pub fn control_channels() -> (ControlOutbox, OutboxReceivers) {
     const CAPACITY: usize = 8;
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use indexmap::IndexMap;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
@@ -10,7 +11,7 @@
 use super::adapter::{MemberEntry, MoveRecord};
 use super::observe::GatewayMetrics;
 use super::view_log::ViewOrigin;
-use crate::decision::direct::{CallDecision, CallOutcome, PeerReport, PendingCall};
+use crate::decision::direct::{CallDecision, CallOutcome, PeerReport, PendingCall, UpstreamNotice};
 use crate::ids::{CallId, GrantId, StoreRevision, TeamId};
 use crate::routing::{ViewBatch, ViewPart, ViewSnapshot};
 
@@ -35,6 +36,17 @@
         /// Time for which the event probably lay at this router before it was read.
         own_delay: Duration,
     },
+    /// An upstream stated something about itself in the head of an answer.
+    Notice {
+        /// The grant of the answered call.
+        grant: GrantId,
+        /// The answered call.
+        call: CallId,
+        /// The statement.
+        notice: UpstreamNotice,
+        /// Status of the answer.
+        status: StatusCode,
+    },
     /// A grant ended.
     Ended {
         /// The grant.
--- a/src/gateway/grant_guard.rs
+++ b/src/gateway/grant_guard.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
+
 use super::GatewayContext;
-use super::adapter::GatewayAdapter;
+use super::adapter::{AnswerMetadata, GatewayAdapter};
 use super::events::{ControlEvent, ControlSender, send_event};
 use super::observe::GatewayMetrics;
 use crate::decision::direct::CallOutcome;
-use crate::ids::GrantId;
+use crate::ids::{CallId, GrantId};
 
 /// A grant in use. Dropping it reports that the caller left.
 #[derive(Debug)]
@@ -62,6 +64,13 @@
         self.send_event(ControlEvent::FirstEvent { grant: self.grant, waited, own_delay });
     }
 
+    /// Reports what the upstream states about itself in the head of its answer to `call`.
+    pub fn record_notices(&self, call: CallId, answer: &AnswerMetadata, status: StatusCode) {
+        for notice in answer.notices() {
+            self.send_event(ControlEvent::Notice { grant: self.grant, call, notice, status });
+        }
+    }
+
     /// Reports the end.
     pub fn end(mut self, outcome: CallOutcome) {
         self.report(outcome);
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::decision::direct::WorkCount;
+use crate::decision::direct::{UpstreamNotice, WorkCount};
 use crate::ids::TeamId;
 use crate::routing::ViewPart;
 
@@ -38,6 +38,13 @@
     pub part: String,
 }
 
+/// Labels of the counter of upstreams' statements.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct NoticeLabels {
+    /// The statement: `leaving` or `pause`.
+    pub notice: String,
+}
+
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -62,6 +69,10 @@
     pub routers: Gauge,
     /// Parts of prompts whose calls are refused, since upstreams crash under them.
     pub refused_parts: Gauge,
+    /// Upstreams that leave or pause by their own statement.
+    pub left_out: Gauge,
+    /// Statements of upstreams about themselves that changed what this router sends, by kind.
+    pub notices: Family<NoticeLabels, Counter>,
     /// Version of the configuration in force.
     pub configuration: Gauge,
     /// Time since a part of the view was last known to be current, in seconds; -1 before the
@@ -89,6 +100,8 @@
             granted: Gauge::default(),
             routers: Gauge::default(),
             refused_parts: Gauge::default(),
+            left_out: Gauge::default(),
+            notices: Family::default(),
             configuration: Gauge::default(),
             view_age: Family::default(),
             reports_dropped: Counter::default(),
@@ -132,6 +145,16 @@
             "Parts of prompts whose calls are refused, since upstreams crash under them",
             self.refused_parts.clone(),
         );
+        registry.register(
+            "left_out_upstreams",
+            "Upstreams that leave or pause by their own statement",
+            self.left_out.clone(),
+        );
+        registry.register(
+            "upstream_notices",
+            "Statements of upstreams about themselves, by kind",
+            self.notices.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force",
@@ -175,6 +198,11 @@
         }
     }
 
+    /// Counts a statement of an upstream about itself.
+    pub fn count_notice(&self, notice: UpstreamNotice) {
+        self.notices.get_or_create(&NoticeLabels { notice: notice.to_string() }).inc();
+    }
+
     /// Records the age of a part of the view.
     pub fn record_view_age(&self, part: ViewPart, age: Option<Duration>) {
         let labels = ViewLabels { part: part.to_string() };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,5 +37,6 @@
 mod support;
 mod tls;
 mod trace;
+mod upstream_notices;
 mod version_move;
 mod view_freshness;
--- a/tests/testsuite/support/direct_path.rs
+++ b/tests/testsuite/support/direct_path.rs
@@ -1,9 +1,10 @@
 //! Values that tests of the direct path share.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use godwitcrank::decision::direct::FleetBounds;
-use godwitcrank::routing::CallerLimits;
+use godwitcrank::routing::{CallerLimits, RouteConfiguration, ServiceEntry, ViewChange};
 
 /// Returns bounds of all routers together.
 pub fn fleet_bounds() -> FleetBounds {
@@ -25,3 +26,22 @@
         idle_time: Duration::from_secs(15),
     }
 }
+
+/// Returns a configuration with one service of plain upstreams that are never cold.
+pub fn plain_configuration(service: &str) -> ViewChange {
+    let service = ServiceEntry {
+        name: service.into(),
+        connection_limit: 600,
+        cold_period: Duration::ZERO,
+        cold_rate: 0.0,
+        memory_tokens: None,
+    };
+    ViewChange::Configuration(Arc::new(RouteConfiguration {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        teams: Vec::new(),
+        limits: caller_limits(),
+        work_rate: None,
+    }))
+}
