--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 use super::adapter::{MemberEntry, MoveRecord};
+use super::decision_log::{log_notice, log_verdict};
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
 use super::follow::CheckSignals;
 use super::observe::GatewayMetrics;
@@ -19,8 +19,8 @@
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, DirectDispatcher, NoticedUpstream, PartVerdict, PeerReport,
-    StageChange, TrialStage, UpstreamNotice, ViewFreshness, trial_counts,
+    CallDecision, CallOutcome, DirectDispatcher, PeerReport, StageChange, TrialStage,
+    ViewFreshness, trial_counts,
 };
 use crate::ids::{CallId, Incarnation, NodeId, StoreRevision};
 use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
@@ -404,33 +404,6 @@
     }
 }
 
-fn log_verdict(verdict: PartVerdict) {
-    match verdict {
-        PartVerdict::Refused { part, crashes } => log::warn!(
-            part = format!("{part:x}"), crashes;
-            "upstreams crash under a part of prompts; its calls are refused"
-        ),
-        PartVerdict::Cleared { part } => log::info!(
-            part = format!("{part:x}"); "calls with a part of prompts are no longer refused"
-        ),
-    }
-}
-
-fn log_notice(noticed: &NoticedUpstream, notice: UpstreamNotice, call: CallId, status: StatusCode) {
-    let upstream = &*noticed.upstream;
-    let status = status.as_u16();
-    match noticed.left_out_for {
-        Some(pause) => log::info!(
-            upstream, notice:% = notice, id = call, status, pause_ms = pause.as_millis() as u64;
-            "upstream asked for a pause; it gets no calls"
-        ),
-        None => log::info!(
-            upstream, notice:% = notice, id = call, status;
-            "upstream says that it leaves; it gets no more calls"
-        ),
-    }
-}
-
 /// Creates the channels from the control thread to the tasks that do I/O for it.
 pub fn control_channels() -> (ControlOutbox, OutboxReceivers) {
     const CAPACITY: usize = 8;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod call_run;
 mod caller;
 mod control;
+mod decision_log;
 mod event_frames;
 mod events;
 mod follow;
