--- a/tests/testsuite/fair_margin.rs
+++ b/tests/testsuite/fair_margin.rs
@@ -75,23 +75,28 @@
     }
 }
 
-/// Guards against a small router whose overload control refuses calls that its processor bears, so
-/// that a large team whose callers all meet it gets far less than the others. Fixed: two large
-/// teams, one of them at one small router; routers of two sizes; equal engines.
-#[gtest]
-fn margin_large_team_at_small_router() {
+/// Returns a plan with two large teams, one of them at one small router at first; routers of two
+/// sizes; equal engines.
+fn small_routers_plan(long_answers: f64) -> FleetPlan {
     let mut teams = vec![team("one-router", 300.0, Some(0)), team("all-routers", 500.0, None)];
     teams.extend((0..10).map(|index| team(&format!("small-{index}"), 10.0, None)));
-    let plan = FleetPlan {
+    FleetPlan {
         routers: vec![SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, LARGE, LARGE],
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
-        long_answers: 0.0,
+        long_answers,
         length: Duration::from_secs(14),
         seed: 0,
-    };
-    expect_margins(&plan, &["one-router", "all-routers"], WARM_UP_SECONDS);
+    }
+}
+
+/// Guards against a small router whose overload control refuses calls that its processor bears, so
+/// that a large team whose callers all meet it gets far less than the others. Fixed: two large
+/// teams, one of them at one small router; routers of two sizes; equal engines.
+#[gtest]
+fn margin_large_team_at_small_router() {
+    expect_margins(&small_routers_plan(0.0), &["one-router", "all-routers"], WARM_UP_SECONDS);
 }
 
 /// Guards against teams being served in proportion to what they ask for, when the engines do more
@@ -143,16 +148,5 @@
 /// Fixed: two large teams, one of them at small routers; every third call has a long answer.
 #[gtest]
 fn margin_large_team_with_long_answers() {
-    let mut teams = vec![team("one-router", 300.0, Some(0)), team("all-routers", 500.0, None)];
-    teams.extend((0..10).map(|index| team(&format!("small-{index}"), 10.0, None)));
-    let plan = FleetPlan {
-        routers: vec![SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, LARGE, LARGE],
-        engines: 16,
-        stated_rate: 2_800_000.0,
-        teams,
-        long_answers: 0.33,
-        length: Duration::from_secs(14),
-        seed: 0,
-    };
-    expect_margins(&plan, &["one-router"], WARM_UP_SECONDS);
+    expect_margins(&small_routers_plan(0.33), &["one-router"], WARM_UP_SECONDS);
 }
