--- a/src/decision/direct/upstream_notices.rs
+++ b/src/decision/direct/upstream_notices.rs
@@ -57,7 +57,7 @@
 
 impl UpstreamNotices {
     /// Records a statement of the incarnation that started at `started`; returns whether it changes
-    /// anything.
+    /// anything. A statement of an earlier incarnation than the known one is ignored.
     pub fn record(
         &mut self,
         upstream: &UpstreamId,
@@ -65,8 +65,11 @@
         notice: UpstreamNotice,
         now: Instant,
     ) -> bool {
-        let is_same = |known: &KnownNotice| known.started == started;
-        if !self.known.get(upstream).is_some_and(is_same) {
+        let known_start = self.known.get(upstream).map(|known| known.started);
+        if known_start.is_some_and(|known_start| known_start > started) {
+            return false;
+        }
+        if known_start != Some(started) {
             self.known.shift_remove(upstream);
             if self.known.len() >= MAX_KNOWN {
                 self.known.shift_remove_index(0);
--- a/tests/testsuite/upstream_notices.rs
+++ b/tests/testsuite/upstream_notices.rs
@@ -254,3 +254,17 @@
     expect_that!(decisions, len(eq(1)));
     expect_that!(matches!(decisions[0].1, CallDecision::Send(_)), eq(true));
 }
+
+/// Guards against a late answer of an upstream's last incarnation that makes the router forget what
+/// the new one said.
+#[gtest]
+fn record_notice_of_last_incarnation_keeps_newer_one() {
+    let now = Instant::now();
+    let mut fixture = NoticeFixture::new(&["a", "b"], now);
+    let late = fixture.send_to("a", now);
+    let restarted = fixture.started + Duration::from_secs(60);
+    fixture.publish("a", restarted, now);
+    fixture.notice("a", UpstreamNotice::Leaving, now);
+    fixture.dispatcher.record_notice(late.id, UpstreamNotice::Leaving, now);
+    expect_that!(fixture.calls_to("a", now + DECLINED_TIME), eq(0));
+}
