Log the load of a router that is short of time, once a second

The trace could not tell a router's lateness, its demand and how much it took and turned away by second: the lines of an overload give them when it begins and ends only, and single lines of calls are dropped beyond 600 a second. The new line `router short of time` gives calls admitted and shed, connections accepted and closed unread, lateness, demand and sustainable rate, connections and calls in progress, and the events that wait for the control thread. No decision changes.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -158,6 +158,7 @@
         match listener.accept().await {
             Ok((stream, caller)) => match refuse_connection(context) {
                 None => {
+                    context.admission.counts().count_connection(true);
                     let guard = context.connections.enter();
                     let connection = serve_connection(Arc::clone(context), stream, stage.clone());
                     tokio::spawn(async move {
@@ -168,6 +169,7 @@
                 // A connection that is closed without a response allows the caller to try another
                 // router.
                 Some(reason) => {
+                    context.admission.counts().count_connection(false);
                     log::info!(caller:% = caller; "connection closed: {reason}");
                     context.metrics.count_call(format!("connection closed: {reason}"));
                 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod events;
 mod follow;
 mod grant_guard;
+mod load_log;
 mod members;
 mod moves;
 mod observe;
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -12,6 +12,7 @@
 use super::GatewayContext;
 use super::adapter::{CallMetadata, GatewayAdapter};
 use super::events::ControlEvent;
+use super::load_log::{LoadCounts, LoadLog};
 use crate::decision::direct::OverloadControl;
 use crate::ids::TeamId;
 use crate::supervisor::StopSignal;
@@ -25,6 +26,7 @@
 pub(super) struct CallAdmission {
     control: Mutex<OverloadControl>,
     shed: Mutex<IndexMap<TeamId, f64>>,
+    counts: LoadCounts,
 }
 
 impl CallAdmission {
@@ -33,6 +35,7 @@
         Self {
             control: Mutex::new(OverloadControl::new(processor_share, now)),
             shed: Mutex::default(),
+            counts: LoadCounts::default(),
         }
     }
 
@@ -46,7 +49,14 @@
     pub(super) fn try_admit(&self, call: Option<&CallMetadata>, now: Instant) -> bool {
         let mut control = self.control();
         let cost = control.cost_of(call.and_then(|call| call.prompt.as_ref()));
-        control.try_admit(cost, now)
+        let is_admitted = control.try_admit(cost, now);
+        self.counts.count_call(is_admitted);
+        is_admitted
+    }
+
+    /// Returns the counts of calls and connections.
+    pub(super) fn counts(&self) -> &LoadCounts {
+        &self.counts
     }
 
     /// Counts the work of a call that was refused because of overload.
@@ -65,6 +75,7 @@
     stop: StopSignal,
 ) -> eyre::Result<()> {
     let mut last = Instant::now();
+    let mut load_log = LoadLog::new(last);
     loop {
         let due = Instant::now() + SAMPLE_INTERVAL;
         tokio::select! {
@@ -72,8 +83,9 @@
             () = tokio::time::sleep_until(due.into()) => {}
         }
         let now = Instant::now();
-        let change =
-            record_sample(&context, now.duration_since(due), now.duration_since(last), now);
+        let lateness = now.duration_since(due);
+        let change = record_sample(&context, lateness, now.duration_since(last), now);
+        load_log.update(&context, lateness, now);
         last = now;
         let shed = std::mem::take(&mut *context.admission.shed());
         if !shed.is_empty() {
