--- a/tests/testsuite/fair_margin.rs
+++ b/tests/testsuite/fair_margin.rs
@@ -26,8 +26,11 @@
 const SMALL: f64 = 0.09;
 const LARGE: f64 = 0.5;
 
+/// Fraction of a core of each router where all have the same size.
+const ZONE_ROUTER: f64 = 0.19;
+
 fn team(name: &str, rate: f64, home: Option<usize>) -> SimulatedTeam {
-    SimulatedTeam { name: name.into(), rate, home }
+    SimulatedTeam { name: name.into(), rate, home, surges: Vec::new() }
 }
 
 /// Returns the least margin of a team over all windows from second `first`, as a fraction of what
@@ -150,3 +153,39 @@
 fn margin_large_team_with_long_answers() {
     expect_margins(&small_routers_plan(0.33), &["one-router"], WARM_UP_SECONDS);
 }
+
+/// Returns a plan with a zone of one router, whose callers are a large team and a third of a flood;
+/// the traffic of all teams grows, and then that of the flood alone.
+fn zone_of_one_router_plan() -> FleetPlan {
+    let burst = (Duration::from_millis(6_750), 2.6);
+    let hot_team = (Duration::from_millis(9_870), 4.0);
+    let mut teams = vec![
+        team("one-zone", 110.0, Some(0)),
+        team("flood", 117.0, Some(0)),
+        team("flood", 273.0, None),
+    ];
+    teams.extend((0..10).map(|index| team(&format!("small-{index}"), 12.0, None)));
+    for team in &mut teams {
+        team.surges.push(burst);
+        if &*team.name == "flood" {
+            team.surges.push(hot_team);
+        }
+    }
+    FleetPlan {
+        routers: vec![ZONE_ROUTER; 5],
+        engines: 18,
+        stated_rate: 1_600_000.0,
+        teams,
+        long_answers: 0.33,
+        length: Duration::from_secs(12),
+        seed: 0,
+    }
+}
+
+/// Guards against a large team that gets far less than the others since the only router of its zone
+/// has no processor time left, while all other routers have. Fixed: five routers of one size; a
+/// zone of one router with two fifths of all calls; a burst, and a flood after it; equal engines.
+#[gtest]
+fn margin_large_team_in_zone_of_one_router() {
+    expect_margins(&zone_of_one_router_plan(), &["one-zone"], WARM_UP_SECONDS);
+}
--- a/tests/testsuite/support/fleet_plan.rs
+++ b/tests/testsuite/support/fleet_plan.rs
@@ -19,6 +19,16 @@
     pub rate: f64,
     /// Index of the router that all its callers meet; `None` when they meet any.
     pub home: Option<usize>,
+    /// Times from which its rate is multiplied by a factor; the factors of several times multiply.
+    pub surges: Vec<(Duration, f64)>,
+}
+
+impl SimulatedTeam {
+    /// Returns the calls per second at a time since the start.
+    pub fn rate_at(&self, time: Duration) -> f64 {
+        let begun = self.surges.iter().filter(|(begin, _)| time >= *begin);
+        self.rate * begun.map(|(_, factor)| factor).product::<f64>()
+    }
 }
 
 /// Routers, engines and teams of a simulation.
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -189,7 +189,8 @@
     /// Schedules the next calls of a team, with exponential gaps.
     fn schedule_clump(&mut self, team: usize) {
         let uniform: f64 = self.random.random_range(f64::EPSILON..1.0);
-        let gap = -uniform.ln() * CLUMP as f64 / self.plan.teams[team].rate;
+        let rate = self.plan.teams[team].rate_at(self.now - self.start);
+        let gap = -uniform.ln() * CLUMP as f64 / rate;
         self.schedule(Duration::from_secs_f64(gap), FleetEvent::Clump { team });
     }
 
