Refuse late streams by the time of their send

What callers saw: a stream whose head came before a planned stop and whose body came 2.9 s after it was run. An answer to a call that was under way when the stop began did not close the connection.

Cause: the stage of the shutdown was read when the head of a call came, and used after the body had come and when the answer was given.

Change: the shutdown has a schedule (`decision/direct/drain_schedule.rs`), which is asked when a call requests an upstream and again before each send. The stages of connections are gone; an answer closes its connection if a shutdown has begun when it is given.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod capacity;
 mod dispatcher;
+mod drain_schedule;
 mod fleet_changes;
 mod fleet_demand;
 mod load;
@@ -35,6 +36,7 @@
 pub use call_cost::CostEstimate;
 pub use capacity::FleetBounds;
 pub use dispatcher::{DirectDispatcher, trial_counts};
+pub use drain_schedule::{DrainSchedule, PlannedSend};
 pub use load::{ColdLimiter, PrefixCache, UpstreamLoad};
 pub use overload::{CallLimiter, LoadSample, OverloadDetector};
 pub use overload_control::OverloadControl;
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -15,10 +15,9 @@
 use super::GatewayContext;
 use super::adapter::{CallCodec, CallMetadata, GatewayAdapter, GatewayRefusal};
 use super::call_run::AdmittedCall;
-use super::caller::DrainStage;
 use crate::decision::direct::{RefusalCause, call_work};
 use crate::ids::{CallFingerprint, RegionId, TeamId};
-use crate::routing::{CallKind, RouteEntry, RouteMatch, RouteTable, select_target};
+use crate::routing::{RouteEntry, RouteMatch, RouteTable, select_target};
 
 /// Retry delay for callers of a router that has no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(300);
@@ -192,17 +191,3 @@
     hash.update(body);
     hash.digest()
 }
-
-/// Refuses a stream that would not end before the process stops.
-pub(super) fn refuse_late_stream(
-    admitted: AdmittedCall,
-    stage: DrainStage,
-) -> Result<AdmittedCall, GatewayRefusal> {
-    let late = matches!(stage, DrainStage::Refusing | DrainStage::Closing);
-    if late && admitted.route.kind == CallKind::Stream {
-        let refusal =
-            GatewayRefusal::NotRun { cause: RefusalCause::Leaving, retry_after: Duration::ZERO };
-        return Err(log_refusal(&admitted.head, refusal));
-    }
-    Ok(admitted)
-}
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -24,7 +24,7 @@
 use super::pool::{LeasedConnection, SendError};
 use super::relay::{AnswerBody, RelayStream, full_body};
 use crate::decision::direct::{
-    BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, RefusalCause,
+    BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, PlannedSend, RefusalCause,
 };
 use crate::ids::{CallFingerprint, CallId, RegionId, ServiceId, TeamId, UpstreamId};
 use crate::lifecycle::call::{ExecutedCall, SentCall, UnsentCall};
@@ -194,6 +194,11 @@
     ) -> Result<CallGrant, PlacementRefusal> {
         let refused =
             |cause| PlacementRefusal { cause, retry_after: self.admitted.route.objective / 4 };
+        if !self.may_send(self.sends == 0) {
+            // Another router may take the call at once.
+            let retry_after = Duration::ZERO;
+            return Err(PlacementRefusal { cause: RefusalCause::Leaving, retry_after });
+        }
         if self.sends >= MAX_SENDS {
             return Err(refused(RefusalCause::NoCapacity));
         }
@@ -239,6 +244,7 @@
 
     /// Sends the call to one upstream and receives its answer, for a stream only the head.
     pub(super) async fn attempt(&mut self, call: SentCall, grant: CallGrant) -> AttemptOutcome {
+        let is_first = self.sends == 0;
         self.sends += 1;
         self.tried.push(Arc::clone(&grant.upstream));
         self.log.record_send(&grant);
@@ -260,6 +266,10 @@
                 return AttemptOutcome::Declined(call.declined(), BudgetCharge::Free);
             }
         };
+        if !self.may_send(is_first) {
+            guard.end(CallOutcome::Unsent);
+            return AttemptOutcome::Declined(call.declined(), BudgetCharge::Free);
+        }
         let response_deadline = self.response_deadline();
         let request = self.upstream_request(&grant);
         guard.record_send();
@@ -287,6 +297,13 @@
         }
     }
 
+    /// Returns whether the call may be sent, as far as a shutdown of this router concerns it.
+    fn may_send(&self, is_first: bool) -> bool {
+        let Some(schedule) = self.context.drain.get() else { return true };
+        let send = PlannedSend { kind: self.admitted.route.kind, is_first };
+        schedule.allows(&send, Instant::now())
+    }
+
     fn log_broken(&self, grant: &CallGrant, lease: &LeasedConnection, error: &hyper::Error) {
         log::warn!(
             id = self.admitted.id, attempt = self.admitted.metadata.attempt,
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -12,30 +12,20 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use super::GatewayContext;
 use super::adapter::{CallCodec, GatewayAdapter};
-use super::admit::{admit, refuse_late_stream};
+use super::admit::admit;
 use super::call_run::CallRun;
 use super::events::ControlEvent;
 use super::pool::set_timeouts;
 use super::relay::{AnswerBody, full_body};
 use super::tracked_body::TrackedBody;
+use crate::decision::direct::DrainSchedule;
 use crate::lifecycle::daemon::{DrainingDaemon, ServingDaemon, StartingSlot};
 use crate::routing::CallerLimits;
 use crate::supervisor::StopSignal;
 
-/// Time after the stop signal during which new streams are accepted. Streams last seconds, and the
-/// balancer sends no new connections after two missed probes, a second apart.
-const STREAM_DRAIN_TIME: Duration = Duration::from_millis(2500);
-
-/// Time after the stop signal during which new connections are accepted.
-const ACCEPT_DRAIN_TIME: Duration = Duration::from_millis(3600);
-
-/// Time before the process is killed at which the remaining connections are abandoned.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
-
 /// Minimum size of a buffer that hyper allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
@@ -47,19 +37,6 @@
     idle_time: Duration::from_secs(15),
 };
 
-/// Progress of a shutdown, as seen by connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum DrainStage {
-    /// Calls are accepted.
-    Serving,
-    /// Connections are closed after the call in progress.
-    Draining,
-    /// New streams are refused too.
-    Refusing,
-    /// Idle connections are closed too.
-    Closing,
-}
-
 /// Serves callers until `stop` is cancelled and the last call has ended.
 pub async fn serve<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
@@ -67,8 +44,8 @@
     starting: StartingSlot,
     stop: StopSignal,
 ) -> eyre::Result<()> {
-    let (stage, stage_watch) = watch::channel(DrainStage::Serving);
-    let accepting = accept_callers(&context, &listener, stage_watch);
+    let closing = StopSignal::new();
+    let accepting = accept_callers(&context, &listener, &closing);
     let serving = async {
         match start_serving(&context, &starting, &stop).await {
             Some(serving) => Some(serve_until_stopped(&context, serving, &stop).await),
@@ -83,23 +60,20 @@
         accepted = &mut accepting => { accepted?; None }
         draining = serving => draining,
     };
+    let schedule = *context
+        .drain
+        .get_or_init(|| DrainSchedule::new(Instant::now(), context.settings.stop_grace));
     context.send_event(ControlEvent::ShuttingDown);
-    stage.send_replace(DrainStage::Draining);
     log::info!(calls = context.in_flight.count(); "draining");
-    let refusing = async {
-        tokio::time::sleep(STREAM_DRAIN_TIME).await;
-        stage.send_replace(DrainStage::Refusing);
-        tokio::time::sleep(ACCEPT_DRAIN_TIME - STREAM_DRAIN_TIME).await;
-    };
     tokio::select! {
         accepted = &mut accepting => accepted?,
-        () = refusing => {}
+        () = tokio::time::sleep_until(schedule.accept_until().into()) => {}
     }
-    stage.send_replace(DrainStage::Closing);
-    let left = context.settings.stop_grace.saturating_sub(ACCEPT_DRAIN_TIME + STOP_MARGIN);
+    closing.cancel();
     // Waits for connections and not only for calls: a call may have arrived on a connection that
     // was about to be closed.
-    if tokio::time::timeout(left, context.connections.wait_idle()).await.is_err() {
+    let idle = context.connections.wait_idle();
+    if tokio::time::timeout_at(schedule.abandon_at().into(), idle).await.is_err() {
         log::warn!(calls = context.in_flight.count(); "stopped before all calls ended");
     }
     if let Some(draining) = draining {
@@ -152,14 +126,14 @@
 async fn accept_callers<A: GatewayAdapter>(
     context: &Arc<GatewayContext<A>>,
     listener: &TcpListener,
-    stage: watch::Receiver<DrainStage>,
+    closing: &StopSignal,
 ) -> eyre::Result<()> {
     loop {
         match listener.accept().await {
             Ok((stream, caller)) => match refuse_connection(context) {
                 None => {
                     let guard = context.connections.enter();
-                    let connection = serve_connection(Arc::clone(context), stream, stage.clone());
+                    let connection = serve_connection(Arc::clone(context), stream, closing.clone());
                     tokio::spawn(async move {
                         connection.await;
                         drop(guard);
@@ -196,7 +170,7 @@
 async fn serve_connection<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
     stream: TcpStream,
-    mut stage: watch::Receiver<DrainStage>,
+    closing: StopSignal,
 ) {
     if let Err(error) = set_timeouts(&stream) {
         log::debug!("caller's connection ended before it was set up: {error}");
@@ -204,17 +178,15 @@
     }
     let limits = context.limits();
     let service = {
-        let stage = stage.clone();
         let context = Arc::clone(&context);
         service_fn(move |request| {
             let context = Arc::clone(&context);
-            let stage = *stage.borrow();
             // Without the box, hyper reserves the size of the whole future on every idle
             // connection.
             Box::pin(async move {
                 let guard = context.in_flight.enter();
-                let mut answer = handle(Arc::clone(&context), request, stage).await;
-                if stage != DrainStage::Serving || *context.overloaded.borrow() {
+                let mut answer = handle(Arc::clone(&context), request).await;
+                if context.drain.get().is_some() || *context.overloaded.borrow() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, guard)))
@@ -227,13 +199,9 @@
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let closing = async {
-        // The sender is alive until the server has ended, and with it the connection.
-        let _ = stage.wait_for(|stage| *stage == DrainStage::Closing).await;
-    };
     let ended = tokio::select! {
         ended = &mut connection => ended,
-        _ = closing => {
+        () = closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -247,12 +215,10 @@
 async fn handle<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
     request: Request<Incoming>,
-    stage: DrainStage,
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let admitted = admit(&context, head, body, arrived).await;
-    match admitted.and_then(|admitted_call| refuse_late_stream(admitted_call, stage)) {
+    match admit(&context, head, body, arrived).await {
         Ok(admitted_call) => CallRun::new(context, admitted_call).answer().await,
         Err(refusal) => {
             context.metrics.count_call(format!("refused {}", refusal.status().as_u16()));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,7 +32,7 @@
 mod view_log;
 mod work_log;
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
@@ -42,6 +42,7 @@
 
 use crate::clock::incarnation;
 use crate::daemon::ready_response;
+use crate::decision::direct::DrainSchedule;
 use crate::ids::Incarnation;
 use crate::in_flight::InFlightCounter;
 use crate::lifecycle::daemon::{ReadyWatch, StartingDaemon, StartingSlot};
@@ -86,6 +87,8 @@
     in_flight: InFlightCounter,
     connections: InFlightCounter,
     connection_limit: usize,
+    /// Time limits of the shutdown, once it has started.
+    drain: OnceLock<DrainSchedule>,
     overloaded: watch::Sender<bool>,
     admission: CallAdmission,
     metrics: Arc<GatewayMetrics>,
@@ -141,6 +144,7 @@
             in_flight: InFlightCounter::default(),
             connections: InFlightCounter::default(),
             connection_limit: settings.connection_limit(),
+            drain: OnceLock::new(),
             overloaded: watch::Sender::new(false),
             admission: CallAdmission::new(settings.processor_share, Instant::now()),
             metrics: Arc::clone(&metrics),
--- /dev/null
+++ b/tests/testsuite/drain_schedule.rs
@@ -0,0 +1,41 @@
+//! Which calls are sent to upstreams during a graceful shutdown.
+
+use std::time::{Duration, Instant};
+
+use godwitcrank::decision::direct::{DrainSchedule, PlannedSend};
+use godwitcrank::routing::CallKind;
+use googletest::prelude::*;
+
+/// Time between the stop signal and the kill of the process.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Guards against new streams late in a shutdown, and against a limit on other calls.
+#[gtest]
+fn allows_new_streams_early() {
+    let started = Instant::now();
+    let schedule = DrainSchedule::new(started, GRACE);
+    for (kind, is_first, after_ms, expected) in [
+        (CallKind::Stream, true, 0, true),
+        (CallKind::Stream, true, 2_499, true),
+        (CallKind::Stream, true, 2_500, false),
+        (CallKind::Stream, false, 2_500, true),
+        (CallKind::AtMostOnce, true, 2_500, true),
+        (CallKind::Repeatable, false, 2_500, true),
+    ] {
+        let send = PlannedSend { kind, is_first };
+        let now = started + Duration::from_millis(after_ms);
+        expect_that!(schedule.allows(&send, now), eq(expected), "{send:?} after {after_ms} ms");
+    }
+}
+
+/// Guards against a process that is killed before it has closed its connections.
+#[gtest]
+fn abandon_at_before_kill() {
+    let started = Instant::now();
+    for grace_ms in [0, 300, 2_000, 8_000] {
+        let grace = Duration::from_millis(grace_ms);
+        let schedule = DrainSchedule::new(started, grace);
+        expect_that!(schedule.abandon_at(), le(started + grace), "{grace_ms} ms");
+        expect_that!(schedule.accept_until(), le(schedule.abandon_at()), "{grace_ms} ms");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod data_centres;
 mod direct_dispatch;
 mod direct_rules;
+mod drain_schedule;
 mod edge;
 mod event_stream;
 mod fair_fleet;
