Refuse plain calls that may outlast a planned stop

Cause: only streams were refused during a stop. A plain call was sent at any time, whatever its deadline: when its body came late, after a wait for an upstream, after an upstream had declined it, and as a retry.

Change: during a shutdown a plain call is sent only if it ends, at its deadline or its route's timeout at the latest, 0.8 s before the process is killed: 0.5 s for the end of the process and 0.3 s for writing the answer. This is asked when it requests an upstream and again before each send. A call that has not run is refused at once (503 `router-leaving`, `Retry-After` 0, `Connection: close`); one that may have run is answered 502 instead of being sent once more.

Evidence, gateway process before the change: of late_calls::*, once_body_late_is_refused, plain_longer_than_grace_is_refused, once_declined_late_is_refused, once_waiting_since_before_stop_is_refused and safe_silent_late_is_not_repeated failed, each because the connection ended without an answer. The first also showed the late send (one call at the engine, none wanted); the others ended at the missing answer. All pass. plain_in_time_is_served shows that calls with 2.5 s left are still served, on kept and on new connections, 1.0 s and 2.9 s after the signal.

--- a/src/decision/direct/drain_schedule.rs
+++ b/src/decision/direct/drain_schedule.rs
@@ -14,6 +14,9 @@
 /// Time before the process is killed at which the remaining connections are abandoned.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time for writing an answer to its caller before the connections are abandoned.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// A call that is about to be sent to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannedSend {
@@ -21,6 +24,8 @@
     pub kind: CallKind,
     /// Whether the call was not sent before.
     pub is_first: bool,
+    /// When the call ends at the latest.
+    pub ends_by: Instant,
 }
 
 /// Time limits of a graceful shutdown.
@@ -47,9 +52,17 @@
         self.started + self.grace.saturating_sub(STOP_MARGIN)
     }
 
-    /// Returns whether a call may still be sent.
+    /// Returns by when every call has to be answered.
+    pub fn answer_by(&self) -> Instant {
+        self.started + self.grace.saturating_sub(STOP_MARGIN + ANSWER_MARGIN)
+    }
+
+    /// Returns whether a call may still be sent: it has to end in time even if its upstream takes
+    /// all the time that the call has left.
     pub fn allows(&self, send: &PlannedSend, now: Instant) -> bool {
-        let is_new_stream = send.kind == CallKind::Stream && send.is_first;
-        !is_new_stream || now < self.started + STREAM_DRAIN_TIME
+        if send.kind != CallKind::Stream {
+            return send.ends_by <= self.answer_by();
+        }
+        !send.is_first || now < self.started + STREAM_DRAIN_TIME
     }
 }
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -300,7 +300,8 @@
     /// Returns whether the call may be sent, as far as a shutdown of this router concerns it.
     fn may_send(&self, is_first: bool) -> bool {
         let Some(schedule) = self.context.drain.get() else { return true };
-        let send = PlannedSend { kind: self.admitted.route.kind, is_first };
+        let kind = self.admitted.route.kind;
+        let send = PlannedSend { kind, is_first, ends_by: self.final_deadline() };
         schedule.allows(&send, Instant::now())
     }
 
