Refuse streams that may outlast a planned stop

What callers saw: a stream that a stopping router accepted in the first 2.5 s, or resumed at another upstream late in the grace, was cut at the end of the grace, 7.5 s after the signal.

Cause: streams were accepted by the time since the signal only. A stream whose deadline is later than the end of the grace may last longer than the process.

Change: streams have the limit of plain calls too: they are sent, and resumed, only if they end at their deadline 0.8 s before the kill. The limit of 2.5 s for new streams stays. Streams that run when the stop begins go on.

Evidence, gateway process before the change: late_calls::stream_longer_than_grace_is_refused failed (200, cut after 73 events and 7.48 s; 503 wanted), stream_broken_late_is_not_resumed failed (two sends, cut after two further events). Both pass; stream_running_goes_on (a stream of 6 s that began before the signal) passes before and after.

--- a/src/decision/direct/drain_schedule.rs
+++ b/src/decision/direct/drain_schedule.rs
@@ -60,9 +60,8 @@
     /// Returns whether a call may still be sent: it has to end in time even if its upstream takes
     /// all the time that the call has left.
     pub fn allows(&self, send: &PlannedSend, now: Instant) -> bool {
-        if send.kind != CallKind::Stream {
-            return send.ends_by <= self.answer_by();
-        }
-        !send.is_first || now < self.started + STREAM_DRAIN_TIME
+        let is_new_stream = send.kind == CallKind::Stream && send.is_first;
+        let is_late_stream = is_new_stream && now >= self.started + STREAM_DRAIN_TIME;
+        !is_late_stream && send.ends_by <= self.answer_by()
     }
 }
