Refuse connections once a stopping router accepts no more

What callers saw: a connection to a stopping router that was opened later than 3.6 s after the signal was established, and a call on it waited unread until the process ended.

Cause: the router stopped accepting, but the listener stayed open, so that the kernel went on to accept connections.

Change: the listener is shut down when connections are no longer accepted. New connections are refused and those that were not accepted yet are reset unread, so that callers go to another router at once.

Evidence, gateway process before the change: late_calls::connection_after_accept_ends_is_closed failed (1.77 s until the caller knew, when the process ended; less than 0.5 s wanted).

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,6 +1,7 @@
 //! Server for callers: accepts connections, and admits and runs their calls.
 
 use std::convert::Infallible;
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::GatewayContext;
@@ -69,6 +71,7 @@
         accepted = &mut accepting => accepted?,
         () = tokio::time::sleep_until(schedule.accept_until().into()) => {}
     }
+    close_listener(&listener);
     closing.cancel();
     // Waits for connections and not only for calls: a call may have arrived on a connection that
     // was about to be closed.
@@ -156,6 +159,13 @@
     }
 }
 
+/// Stops listening, so that connections are refused and do not wait unread until the process ends.
+fn close_listener(listener: &TcpListener) {
+    if let Err(error) = SockRef::from(listener).shutdown(Shutdown::Both) {
+        log::warn!("cannot close the listener: {error}");
+    }
+}
+
 /// Returns why a new connection is closed unread, if it is.
 fn refuse_connection<A: GatewayAdapter>(context: &GatewayContext<A>) -> Option<&'static str> {
     if context.connections.count() >= context.connection_limit {
