Answer calls that a stop interrupts

What callers saw: a plain call that was sent before a planned stop, and whose upstream had not answered by the end of the grace, lost its connection without an answer.

Cause: nothing ended the wait for an upstream before the process did.

This is not counted as a failure of the upstream. Streams whose first events have reached their callers go on to the end of the process, as before.

--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -132,6 +132,11 @@
     retry_after: Duration,
 }
 
+impl PlacementRefusal {
+    /// Refusal by a router that shuts down. Another one may take the call at once.
+    const LEAVING: Self = Self { cause: RefusalCause::Leaving, retry_after: Duration::ZERO };
+}
+
 /// Cancels a pending call at the control thread when its caller leaves.
 struct WaitingGuard<'a, A: GatewayAdapter> {
     context: &'a GatewayContext<A>,
@@ -195,9 +200,7 @@
         let refused =
             |cause| PlacementRefusal { cause, retry_after: self.admitted.route.objective / 4 };
         if !self.may_send(self.sends == 0) {
-            // Another router may take the call at once.
-            let retry_after = Duration::ZERO;
-            return Err(PlacementRefusal { cause: RefusalCause::Leaving, retry_after });
+            return Err(PlacementRefusal::LEAVING);
         }
         if self.sends >= MAX_SENDS {
             return Err(refused(RefusalCause::NoCapacity));
@@ -210,7 +213,10 @@
             return Err(refused(RefusalCause::NoCapacity));
         }
         let mut guard = WaitingGuard { context: &self.context, call: Some(self.admitted.id) };
-        let decision = decision.await;
+        let decision = tokio::select! {
+            decision = decision => decision,
+            () = self.context.answers_due.cancelled() => return Err(PlacementRefusal::LEAVING),
+        };
         guard.call = None;
         drop(guard);
         self.log.record_placement(requested_at.elapsed());
@@ -273,27 +279,26 @@
         let response_deadline = self.response_deadline();
         let request = self.upstream_request(&grant);
         guard.record_send();
-        let sending = tokio::time::timeout_at(response_deadline.into(), lease.send(request));
-        match sending.await {
-            Err(_) => {
-                guard.end(CallOutcome::Silent);
+        match self.wait_until(response_deadline, lease.send(request)).await {
+            None => {
+                guard.end(self.timeout_outcome());
                 if self.is_past_deadline() {
                     AttemptOutcome::TimedOut
                 } else {
                     AttemptOutcome::Failed(call.executed(), None)
                 }
             }
-            Ok(Err(SendError::Unsent)) => {
+            Some(Err(SendError::Unsent)) => {
                 guard.end(CallOutcome::Unsent);
                 self.tried.pop();
                 AttemptOutcome::Declined(call.declined(), BudgetCharge::Free)
             }
-            Ok(Err(SendError::Broken(error))) => {
+            Some(Err(SendError::Broken(error))) => {
                 self.log_broken(&grant, &lease, &error);
                 guard.end(CallOutcome::Broken);
                 AttemptOutcome::Failed(call.executed(), None)
             }
-            Ok(Ok(answer)) => self.receive_answer(call, grant, guard, lease, answer).await,
+            Some(Ok(answer)) => self.receive_answer(call, grant, guard, lease, answer).await,
         }
     }
 
@@ -305,6 +310,25 @@
         schedule.allows(&send, Instant::now())
     }
 
+    /// Waits for an upstream until a deadline, or until the shutdown of this router requires an
+    /// answer to the caller.
+    async fn wait_until<F: Future>(&self, deadline: Instant, future: F) -> Option<F::Output> {
+        tokio::select! {
+            output = tokio::time::timeout_at(deadline.into(), future) => output.ok(),
+            () = self.context.answers_due.cancelled() => None,
+        }
+    }
+
+    /// Returns the outcome of a call whose upstream did not answer in time. The end of this router
+    /// says nothing about the upstream.
+    fn timeout_outcome(&self) -> CallOutcome {
+        if self.context.answers_due.is_cancelled() {
+            CallOutcome::Abandoned
+        } else {
+            CallOutcome::Silent
+        }
+    }
+
     fn log_broken(&self, grant: &CallGrant, lease: &LeasedConnection, error: &hyper::Error) {
         log::warn!(
             id = self.admitted.id, attempt = self.admitted.metadata.attempt,
@@ -346,12 +370,12 @@
         }
         let mut memory = BufferMemory::new(Arc::clone(&self.context.memory));
         let collecting = collect_answer(body, &mut memory);
-        let body = match tokio::time::timeout_at(self.final_deadline().into(), collecting).await {
-            Err(_) => {
-                guard.end(CallOutcome::Silent);
+        let body = match self.wait_until(self.final_deadline(), collecting).await {
+            None => {
+                guard.end(self.timeout_outcome());
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Err(error)) => {
+            Some(Err(error)) => {
                 log::warn!(
                     id = self.admitted.id, upstream = &*grant.upstream;
                     "answer ended early: {error}"
@@ -359,7 +383,7 @@
                 guard.end(CallOutcome::Broken);
                 return AttemptOutcome::Failed(call.executed(), None);
             }
-            Ok(Ok(body)) => body,
+            Some(Ok(body)) => body,
         };
         self.context.pool.release(lease, grant.address, metadata.idle_limit);
         self.classify_answer(call, guard, &metadata, head, body)
@@ -530,8 +554,9 @@
         self.deadline + DEADLINE_MARGIN
     }
 
+    /// Returns whether no time is left for another attempt.
     fn is_past_deadline(&self) -> bool {
-        Instant::now() >= self.deadline
+        self.context.answers_due.is_cancelled() || Instant::now() >= self.deadline
     }
 
     /// Returns when an upstream that has not responded is given up.
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -76,7 +76,13 @@
     // Waits for connections and not only for calls: a call may have arrived on a connection that
     // was about to be closed.
     let idle = context.connections.wait_idle();
-    if tokio::time::timeout_at(schedule.abandon_at().into(), idle).await.is_err() {
+    tokio::pin!(idle);
+    if tokio::time::timeout_at(schedule.answer_by().into(), &mut idle).await.is_err() {
+        context.answers_due.cancel();
+        // The connections that are left at the end are counted below.
+        let _ = tokio::time::timeout_at(schedule.abandon_at().into(), idle).await;
+    }
+    if context.connections.count() > 0 {
         log::warn!(calls = context.in_flight.count(); "stopped before all calls ended");
     }
     if let Some(draining) = draining {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -89,6 +89,8 @@
     connection_limit: usize,
     /// Time limits of the shutdown, once it has started.
     drain: OnceLock<DrainSchedule>,
+    /// Cancelled when every call has to be answered, as the process is about to end.
+    answers_due: StopSignal,
     overloaded: watch::Sender<bool>,
     admission: CallAdmission,
     metrics: Arc<GatewayMetrics>,
@@ -145,6 +147,7 @@
             connections: InFlightCounter::default(),
             connection_limit: settings.connection_limit(),
             drain: OnceLock::new(),
+            answers_due: StopSignal::new(),
             overloaded: watch::Sender::new(false),
             admission: CallAdmission::new(settings.processor_share, Instant::now()),
             metrics: Arc::clone(&metrics),
