Bound the nesting of messages that are decoded

Callers saw nothing of it yet. A message between processes, such as the view of another router, is MessagePack; a value nested 1,024 levels deep in an unknown field was decoded level by level before the decoder refused it. On a thread with 2 MB of stack the debug build overflowed its stack, which ends the process: "thread 'decoding::decode_view_unreadable_refuses' has overflowed its stack; fatal runtime error: stack overflow, aborting". The gateway decodes on its main thread with more stack; there a nested datagram did no harm before either (nested_report_is_ignored passed). The release build was not tried.

All messages are now decoded with at most 64 levels, reports included.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use super::adapter::GatewayAdapter;
 use super::events::{ControlEvent, OutgoingReport};
 use crate::decision::direct::PeerReport;
+use crate::protocol::decode_message;
 use crate::supervisor::StopSignal;
 
 /// Maximum size of a datagram, in bytes.
@@ -37,7 +38,7 @@
                 send_report(&socket, &outgoing).await;
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, sender)) => match rmp_serde::from_slice::<PeerReport>(&buffer[..length]) {
+                Ok((length, sender)) => match decode_message::<PeerReport>(&buffer[..length]) {
                     Ok(report) => context.send_event(ControlEvent::Report(report)),
                     Err(error) => log::warn!(sender:% = sender; "malformed report: {error}"),
                 },
--- a/src/protocol/codec.rs
+++ b/src/protocol/codec.rs
@@ -5,6 +5,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Deepest nesting of a message. Decoding uses stack for each level, on any thread of a process.
+const MAX_DEPTH: usize = 64;
+
 /// Error of encoding or decoding a message.
 #[derive(Debug, Display, Error)]
 pub enum CodecError {
@@ -23,5 +26,7 @@
 
 /// Decodes a message.
 pub fn decode_message<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, CodecError> {
-    rmp_serde::from_slice(bytes).map_err(CodecError::Decode)
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
+    deserializer.set_max_depth(MAX_DEPTH);
+    M::deserialize(&mut deserializer).map_err(CodecError::Decode)
 }
