Hold the views of other routers to the bounds of the store's rows

The bounds are now in the library, where the platform's checked types take them from. A fetched view loses a configuration and entries beyond them; one line says how many.

--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -83,7 +83,14 @@
         };
         let Some(address) = address else { return Ok(()) };
         match fetch_view(address).await {
-            Ok(view) => context.control.send(ControlEvent::Import(view)).await?,
+            Ok(mut view) => {
+                // A router of an earlier release may pass on what this one refuses.
+                let removed = view.remove_out_of_bounds();
+                if removed > 0 {
+                    log::warn!(peer:% = address, removed; "ignored invalid parts of a view");
+                }
+                context.control.send(ControlEvent::Import(view)).await?;
+            }
             Err(error) => log::warn!(peer:% = address; "cannot fetch the view: {error:#}"),
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,10 +4,12 @@
 //! from the source that the gateway's adapter provides; a [`RouteTable`] looks up the route of a
 //! call.
 
+mod bounds;
 mod entry;
 mod table;
 mod view;
 
+pub use bounds::{MAX_COLD_TIME, MAX_PERIOD, MAX_SIZE_LIMIT, MAX_SLOTS, is_dialable};
 pub use entry::{
     CallKind, CallerLimits, MoveOrder, RouteConfiguration, RouteEntry, RouteTarget, ServiceEntry,
     TeamEntry, UpstreamEntry,
