Take the configuration of a peer when the store's row is invalid

What operators would see: a router that starts, or is restarted, while another writer's invalid row stands as the configuration is not ready until the row is corrected, although all its peers serve by the configuration before.

Cause: it reads the table at a revision that no peer is ahead of, so it never fetched a view, and would not have taken one of an older revision.

start_beside_invalid_configuration_peer_tells before: "readiness: nothing within 10s" for the second router.

A router without a configuration now counts as behind every peer that has one, and takes only the configuration from a view that is not newer; orders and upstreams stay as read from the store. In its reports it names no revision of the operators' part, so that routers without a configuration don't fetch from each other.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -267,8 +267,8 @@
     /// Fetches the view of a peer that has been ahead for a while, in case this router cannot reach
     /// the store.
     fn fetch_newer_view(&mut self, now: Instant) {
-        let operators = self.view.revision(ViewPart::Operators);
-        let upstreams = self.view.revision(ViewPart::Upstreams);
+        let operators = self.view.usable_revision(ViewPart::Operators);
+        let upstreams = self.view.usable_revision(ViewPart::Upstreams);
         let peer = self.dispatcher.peers().find_ahead(operators, upstreams, now);
         let Some((peer, address)) = peer else {
             self.behind_since = None;
@@ -319,8 +319,8 @@
         let node = Arc::clone(&settings.node);
         let incarnation = self.context.incarnation;
         let mut report = PeerReport {
-            operators: self.view.revision(ViewPart::Operators),
-            upstreams: self.view.revision(ViewPart::Upstreams),
+            operators: self.view.usable_revision(ViewPart::Operators),
+            upstreams: self.view.usable_revision(ViewPart::Upstreams),
             leaving: self.leaving,
             view_ages: ViewPart::ALL
                 .into_iter()
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -98,6 +98,15 @@
         }
     }
 
+    /// Returns the revision up to which a part can be passed on to other routers: zero for the
+    /// operators' part while no configuration is known, as the source's may be invalid.
+    pub fn usable_revision(&self, part: ViewPart) -> StoreRevision {
+        match part {
+            ViewPart::Operators if self.configuration.is_none() => 0,
+            part => self.revision(part),
+        }
+    }
+
     /// Returns the configuration in force.
     pub fn configuration(&self) -> Option<&Arc<RouteConfiguration>> {
         self.configuration.as_ref()
@@ -138,9 +147,17 @@
             .collect()
     }
 
-    /// Applies the parts of another router's view that are newer; returns the changes that had an
-    /// effect.
+    /// Applies the parts of another router's view that are newer, and its configuration if none is
+    /// known here; returns the changes that had an effect.
     pub fn import(&mut self, snapshot: ViewSnapshot) -> Vec<ViewChange> {
+        let mut applied = Vec::new();
+        if self.configuration.is_none()
+            && let Some(configuration) = &snapshot.configuration
+        {
+            let change = ViewChange::Configuration(Arc::clone(configuration));
+            self.apply_change(&change);
+            applied.push(change);
+        }
         let mut operators: Vec<ViewChange> =
             snapshot.configuration.into_iter().map(ViewChange::Configuration).collect();
         operators.extend(snapshot.taken_out.into_iter().map(ViewChange::TakenOut));
@@ -151,7 +168,6 @@
             (ViewPart::Operators, snapshot.operators, operators),
             (ViewPart::Upstreams, snapshot.upstreams, upstreams.collect()),
         ];
-        let mut applied = Vec::new();
         for (part, revision, changes) in parts {
             if revision > self.revision(part) {
                 applied.extend(self.apply(ViewBatch { part, revision, complete: true, changes }));
