Keep log lines whole in a shared pipe

Cause: the output thread wrote all lines of 25 ms in one write. Writes of more than 4096 bytes to a pipe may be cut or mixed with those of other processes.

Change: whole lines, as many at a time as fit into 4096 bytes. `event_stream:: write_burst_in_whole_lines` failed (a write of 30,000 bytes) and passes.

--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -13,6 +13,10 @@
 /// times a second and not for every line.
 const BATCH_TIME: Duration = Duration::from_millis(25);
 
+/// Maximum number of bytes of one write. Linux keeps writes up to this size to a pipe in one piece,
+/// so that the lines of processes that share a pipe do not mix.
+const MAX_WRITE_BYTES: usize = 4096;
+
 /// Number of lines not yet written, over all writers of the process.
 static PENDING_LINES: AtomicUsize = AtomicUsize::new(0);
 
@@ -101,21 +105,31 @@
 
 /// Writes lines in batches until the queue or the output is closed.
 fn write_lines(mut output: impl Write, lines: &Receiver<Vec<u8>>) {
-    while let Ok(mut batch) = lines.recv() {
+    while let Ok(first) = lines.recv() {
         std::thread::sleep(BATCH_TIME);
-        let mut count = 1;
-        while let Ok(line) = lines.try_recv() {
-            batch.extend_from_slice(&line);
-            count += 1;
-        }
-        let written = output.write_all(&batch).and_then(|()| output.flush());
-        PENDING_LINES.fetch_sub(count, Ordering::Relaxed);
+        let batch: Vec<Vec<u8>> = std::iter::once(first).chain(lines.try_iter()).collect();
+        let written = write_batch(&mut output, &batch);
+        PENDING_LINES.fetch_sub(batch.len(), Ordering::Relaxed);
         if written.is_err() {
             return;
         }
     }
 }
 
+/// Writes whole lines, as many at a time as fit into one write; a longer line is written alone.
+fn write_batch(output: &mut impl Write, batch: &[Vec<u8>]) -> io::Result<()> {
+    let mut chunk: Vec<u8> = Vec::with_capacity(MAX_WRITE_BYTES);
+    for line in batch {
+        if !chunk.is_empty() && chunk.len() + line.len() > MAX_WRITE_BYTES {
+            output.write_all(&chunk)?;
+            chunk.clear();
+        }
+        chunk.extend_from_slice(line);
+    }
+    output.write_all(&chunk)?;
+    output.flush()
+}
+
 /// Waits until all lines are written, at most for `limit`. Called before the process ends.
 pub fn flush_pending(limit: Duration) {
     let deadline = Instant::now() + limit;
--- a/tests/testsuite/event_stream.rs
+++ b/tests/testsuite/event_stream.rs
@@ -119,6 +119,46 @@
     expect_that!(output.text().matches("line\n").count(), eq(10));
 }
 
+/// Output that counts the bytes of each write.
+#[derive(Clone, Default)]
+struct SizedOutput(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl Write for SizedOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no reader panicked").push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that mix with those of other processes on the same pipe, which keeps only
+/// writes of up to 4096 bytes in one piece.
+#[gtest]
+fn write_burst_in_whole_lines() {
+    let output = SizedOutput::default();
+    let mut writer =
+        LineWriter::start(output.clone(), LogBounds::default()).expect("the thread starts");
+    for _ in 0..200 {
+        writer.write_all(&[[b'x'; 149].as_slice(), b"\n"].concat()).expect("writing never fails");
+    }
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let writes = loop {
+        assert!(Instant::now() < deadline, "the lines are not written");
+        std::thread::sleep(Duration::from_millis(100));
+        let writes = output.0.lock().expect("no writer panicked").clone();
+        if writes.iter().map(Vec::len).sum::<usize>() == 200 * 150 {
+            break writes;
+        }
+    };
+    for write in writes {
+        expect_that!(write.len(), le(4096));
+        expect_that!(write.last(), some(eq(&b'\n')));
+    }
+}
+
 fn dropped_count(log: &str) -> Option<u64> {
     let (_, rest) = log.split_once("dropped count=")?;
     rest.lines().next()?.parse().ok()
