Log the work of all teams once a second

What operators saw: no line or metric of the routers gives the margin of a team's fair share second by second. `team turned away` leaves out the teams that were served and the lines of busy routers that the log drops, and counts a retry as asked again.

Change: one line a second and router, `work of all teams`, with sums since the start of the process for each team (sent, refused, shed, and retries of calls at the same router among them), the work of the largest call, callers' connections served and closed unread, the process's processor time from the scheduler statistics of its threads, and the share of a core. Two counters for the connections. No decision reads any of this.

Tests: `team_work::*`.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -43,7 +43,7 @@
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
 pub use suspects::SuspectList;
 pub use team_usage::{FairLevel, TeamDemand, TeamUsage};
-pub use team_work::{TeamWork, WorkCount};
+pub use team_work::{ShedCall, TeamWork, WorkCount};
 pub use upstream_notices::{
     MAX_PAUSE, NoticedUpstream, UpstreamNotice, UpstreamNotices, UpstreamStart,
 };
--- a/src/decision/direct/team_work.rs
+++ b/src/decision/direct/team_work.rs
@@ -1,10 +1,14 @@
 //! Work that each team asked this router for, and what became of it.
 
 use derive_more::AddAssign;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::call::{BudgetCharge, CallDecision, PendingCall};
-use crate::ids::TeamId;
+use crate::ids::{CallFingerprint, TeamId};
+
+/// Number of updates after which the calls of before are forgotten; callers that retry come back
+/// within a few seconds.
+const UPDATES_PER_GENERATION: u32 = 3;
 
 /// Work of one team's calls, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, AddAssign)]
@@ -17,6 +21,8 @@
     /// Calls that were refused before they reached the dispatcher, because the router was
     /// overloaded.
     pub shed: f64,
+    /// Calls among all of these that were retries of calls at this router.
+    pub repeated: f64,
 }
 
 impl WorkCount {
@@ -25,16 +31,34 @@
         self.sent + self.refused + self.shed
     }
 
+    /// Returns the work of the calls that were no retries, as far as this router can tell.
+    pub fn asked_first(&self) -> f64 {
+        self.asked() - self.repeated
+    }
+
     /// Returns the work of the calls that were not sent.
     pub fn turned_away(&self) -> f64 {
         self.refused + self.shed
     }
 }
 
+/// A call that was refused because of overload.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShedCall {
+    /// The caller's team.
+    pub team: TeamId,
+    /// Hash of path, key and body.
+    pub fingerprint: CallFingerprint,
+    /// Work of the call, in tokens.
+    pub work: f64,
+}
+
 /// Work by team since it was last taken.
 #[derive(Clone, Debug, Default)]
 pub struct TeamWork {
     counts: IndexMap<TeamId, WorkCount>,
+    recent: RecentCalls,
+    largest: f64,
 }
 
 impl TeamWork {
@@ -46,22 +70,57 @@
             CallDecision::Send(_) => WorkCount { sent: work, ..WorkCount::default() },
             CallDecision::Refuse { .. } => WorkCount { refused: work, ..WorkCount::default() },
         };
-        self.add(team, count);
+        self.add(team, call.fingerprint, count);
     }
 
-    /// Counts work, by team, of calls that were refused before they reached the dispatcher.
-    pub fn record_shed(&mut self, shed: &IndexMap<TeamId, f64>) {
-        for (team, work) in shed {
-            self.add(team, WorkCount { shed: *work, ..WorkCount::default() });
+    /// Counts calls that were refused before they reached the dispatcher.
+    pub fn record_shed(&mut self, calls: &[ShedCall]) {
+        for call in calls {
+            let count = WorkCount { shed: call.work, ..WorkCount::default() };
+            self.add(&call.team, call.fingerprint, count);
         }
     }
 
-    fn add(&mut self, team: &TeamId, count: WorkCount) {
+    fn add(&mut self, team: &TeamId, fingerprint: CallFingerprint, mut count: WorkCount) {
+        self.largest = self.largest.max(count.asked());
+        if !self.recent.insert(fingerprint) {
+            count.repeated = count.asked();
+        }
         *self.counts.entry(TeamId::clone(team)).or_default() += count;
     }
 
-    /// Returns the counts of all teams and starts anew.
+    /// Returns the work of the largest call so far, in tokens.
+    pub fn largest(&self) -> f64 {
+        self.largest
+    }
+
+    /// Returns the counts of all teams and starts anew; called once a second.
     pub fn take(&mut self) -> IndexMap<TeamId, WorkCount> {
+        self.recent.age();
         std::mem::take(&mut self.counts)
     }
 }
+
+/// Fingerprints of the calls of the last seconds, in two generations.
+#[derive(Clone, Debug, Default)]
+struct RecentCalls {
+    current: IndexSet<CallFingerprint>,
+    previous: IndexSet<CallFingerprint>,
+    updates: u32,
+}
+
+impl RecentCalls {
+    /// Adds a call; returns whether it is new.
+    fn insert(&mut self, fingerprint: CallFingerprint) -> bool {
+        !self.previous.contains(&fingerprint) && self.current.insert(fingerprint)
+    }
+
+    /// Forgets the older generation after some updates.
+    fn age(&mut self) {
+        self.updates += 1;
+        if self.updates >= UPDATES_PER_GENERATION {
+            self.updates = 0;
+            self.previous = std::mem::take(&mut self.current);
+        }
+    }
+}
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -16,7 +16,7 @@
 use super::adapter::{CallCodec, CallMetadata, GatewayAdapter, GatewayRefusal};
 use super::call_run::AdmittedCall;
 use super::caller::DrainStage;
-use crate::decision::direct::{RefusalCause, call_work};
+use crate::decision::direct::{RefusalCause, ShedCall, call_work};
 use crate::ids::{CallFingerprint, RegionId, TeamId};
 use crate::routing::{CallKind, RouteEntry, RouteMatch, RouteTable, select_target};
 
@@ -47,12 +47,12 @@
     let metadata = metadata
         .map_err(|error| log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem }))?;
     let CallRoute { route, team, priority, homes } = find_route(&table, &head, &metadata)?;
+    let fingerprint = fingerprint(&head, &metadata, &body);
     if !within_rate {
-        return Err(shed_call(context, &metadata, team.as_ref()));
+        return Err(shed_call(context, &metadata, team.as_ref(), fingerprint));
     }
     let service = select_target(&route, &metadata.attempt)
         .ok_or(GatewayRefusal::UnknownRoute { version: table.version() })?;
-    let fingerprint = fingerprint(&head, &metadata, &body);
     let id = context.calls.fetch_add(1, Ordering::Relaxed);
     Ok(AdmittedCall {
         id,
@@ -103,9 +103,11 @@
     context: &GatewayContext<A>,
     metadata: &CallMetadata,
     team: Option<&TeamId>,
+    fingerprint: CallFingerprint,
 ) -> GatewayRefusal {
     if let Some(team) = team {
-        context.admission.record_shed(team, call_work(metadata.prompt.as_ref()));
+        let work = call_work(metadata.prompt.as_ref());
+        context.admission.record_shed(ShedCall { team: TeamId::clone(team), fingerprint, work });
     }
     log::info!(
         attempt = metadata.attempt, team = team.map_or("-", |team| &**team);
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -159,6 +159,7 @@
             Ok((stream, caller)) => match refuse_connection(context) {
                 None => {
                     let guard = context.connections.enter();
+                    context.metrics.caller_connections.inc();
                     let connection = serve_connection(Arc::clone(context), stream, stage.clone());
                     tokio::spawn(async move {
                         connection.await;
@@ -170,6 +171,7 @@
                 Some(reason) => {
                     log::info!(caller:% = caller; "connection closed: {reason}");
                     context.metrics.count_call(format!("connection closed: {reason}"));
+                    context.metrics.closed_connections.inc();
                 }
             },
             Err(error) => {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -248,7 +248,7 @@
         self.request_checks(now);
         self.send_report(now);
         let metrics = &self.context.metrics;
-        self.work_log.update(&mut self.dispatcher, metrics, now);
+        self.work_log.update(&mut self.dispatcher, metrics, &self.context.settings, now);
         metrics.waiting.set(i64::try_from(self.dispatcher.waiting()).unwrap_or(i64::MAX));
         metrics.granted.set(i64::try_from(self.dispatcher.granted()).unwrap_or(i64::MAX));
         for part in ViewPart::ALL {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -4,15 +4,16 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use indexmap::IndexMap;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 use super::adapter::{MemberEntry, MoveRecord};
 use super::observe::GatewayMetrics;
 use super::view_log::ViewOrigin;
-use crate::decision::direct::{CallDecision, CallOutcome, PeerReport, PendingCall, UpstreamNotice};
-use crate::ids::{CallId, GrantId, StoreRevision, TeamId};
+use crate::decision::direct::{
+    CallDecision, CallOutcome, PeerReport, PendingCall, ShedCall, UpstreamNotice,
+};
+use crate::ids::{CallId, GrantId, StoreRevision};
 use crate::routing::{ViewBatch, ViewPart, ViewSnapshot};
 
 /// Event for the control thread.
@@ -56,8 +57,8 @@
         /// Whether the answer missed its objective.
         late: bool,
     },
-    /// Work of the calls that were refused because of overload, by team.
-    Shed(IndexMap<TeamId, f64>),
+    /// Calls that were refused because of overload.
+    Shed(Vec<ShedCall>),
     /// Changes from the source.
     View {
         /// The changes.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod peer_server;
 mod peers;
 mod pool;
+mod processor_time;
 mod relay;
 mod settings;
 mod tracked_body;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -61,6 +61,10 @@
     pub placement: Histogram,
     /// Connections opened to upstreams.
     pub connections: Counter,
+    /// Connections of callers that were served.
+    pub caller_connections: Counter,
+    /// Connections of callers that were closed unread.
+    pub closed_connections: Counter,
     /// Pending calls.
     pub waiting: Gauge,
     /// Calls in progress at upstreams.
@@ -96,6 +100,8 @@
             first_event: new_histogram(),
             placement: new_histogram(),
             connections: Counter::default(),
+            caller_connections: Counter::default(),
+            closed_connections: Counter::default(),
             waiting: Gauge::default(),
             granted: Gauge::default(),
             routers: Gauge::default(),
@@ -137,6 +143,16 @@
             "Connections opened to upstreams",
             self.connections.clone(),
         );
+        registry.register(
+            "caller_connections",
+            "Connections of callers that were served",
+            self.caller_connections.clone(),
+        );
+        registry.register(
+            "closed_connections",
+            "Connections of callers that were closed unread",
+            self.closed_connections.clone(),
+        );
         registry.register("waiting_calls", "Calls without an upstream", self.waiting.clone());
         registry.register("granted_calls", "Calls at upstreams", self.granted.clone());
         registry.register("routers", "Routers that may be alive", self.routers.clone());
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -7,24 +7,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
-
 use super::GatewayContext;
 use super::adapter::{CallMetadata, GatewayAdapter};
 use super::events::ControlEvent;
-use crate::decision::direct::OverloadControl;
-use crate::ids::TeamId;
+use crate::decision::direct::{OverloadControl, ShedCall};
 use crate::supervisor::StopSignal;
 
 /// Time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Overload control that connections and the monitor share, and the work of the calls that it
-/// refused.
+/// Overload control that connections and the monitor share, and the calls that it refused.
 #[derive(Debug)]
 pub(super) struct CallAdmission {
     control: Mutex<OverloadControl>,
-    shed: Mutex<IndexMap<TeamId, f64>>,
+    shed: Mutex<Vec<ShedCall>>,
 }
 
 impl CallAdmission {
@@ -49,12 +45,12 @@
         control.try_admit(cost, now)
     }
 
-    /// Counts the work of a call that was refused because of overload.
-    pub(super) fn record_shed(&self, team: &TeamId, work: f64) {
-        *self.shed().entry(TeamId::clone(team)).or_default() += work;
+    /// Records a call that was refused because of overload.
+    pub(super) fn record_shed(&self, call: ShedCall) {
+        self.shed().push(call);
     }
 
-    fn shed(&self) -> MutexGuard<'_, IndexMap<TeamId, f64>> {
+    fn shed(&self) -> MutexGuard<'_, Vec<ShedCall>> {
         self.shed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/gateway/work_log.rs
+++ b/src/gateway/work_log.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use super::observe::GatewayMetrics;
+use super::processor_time::processor_time;
+use super::settings::GatewaySettings;
 use crate::decision::direct::DirectDispatcher;
+use crate::report::TeamTotals;
 
 /// Time between two updates.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -11,10 +14,11 @@
 /// Maximum number of teams that one update logs.
 const MAX_LOGGED_TEAMS: usize = 8;
 
-/// Logs the teams that were turned away, once a second.
+/// Logs the work of all teams, and the teams that were turned away, once a second.
 #[derive(Debug, Default)]
 pub struct WorkLog {
     updated_at: Option<Instant>,
+    totals: TeamTotals,
 }
 
 impl WorkLog {
@@ -24,6 +28,7 @@
         &mut self,
         dispatcher: &mut DirectDispatcher,
         metrics: &GatewayMetrics,
+        settings: &GatewaySettings,
         now: Instant,
     ) {
         if self.updated_at.is_some_and(|updated_at| now.duration_since(updated_at) < INTERVAL) {
@@ -33,7 +38,9 @@
         let mut counts = dispatcher.work_mut().take();
         for (team, count) in &counts {
             metrics.count_work(team, *count);
+            self.totals.add(team, *count);
         }
+        self.log_totals(dispatcher.work_mut().largest(), metrics, settings);
         counts.retain(|_, count| count.turned_away() > 0.0);
         counts.sort_by(|_, left, _, right| right.turned_away().total_cmp(&left.turned_away()));
         let level = dispatcher.fair_level();
@@ -49,4 +56,16 @@
             );
         }
     }
+
+    /// Logs sums since the start of the process.
+    fn log_totals(&self, largest: f64, metrics: &GatewayMetrics, settings: &GatewaySettings) {
+        log::info!(
+            node = &*settings.node, share = settings.processor_share,
+            processor_ms = processor_time().map_or(-1, |time| time.as_millis() as i64),
+            connections = metrics.caller_connections.get(),
+            closed = metrics.closed_connections.get(), largest = largest as u64,
+            teams:% = self.totals;
+            "work of all teams"
+        );
+    }
 }
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -11,6 +11,7 @@
 mod observation;
 mod recorder;
 mod text;
+mod work_totals;
 
 pub use document::{
     BurnEntry, BurnReport, LatencyCounts, ObjectiveKind, ObjectiveReport, RouterCoverage,
@@ -21,3 +22,4 @@
 pub use observation::{AnswerOutcome, ServiceObservation};
 pub use recorder::{BurnRecorder, MAX_ENTRIES};
 pub use text::render_text;
+pub use work_totals::{TeamTotals, TotalsError};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod settings;
 mod shutdown;
 mod support;
+mod team_work;
 mod tls;
 mod trace;
 mod upstream_notices;
