Add report margin, the margin of each team's fair share

Work between two lines of a router is spread evenly; sums that fall mean a restart. `report burn` moves to a module of its own.

Tests: `margin_report::*`.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,9 +3,11 @@
 
 mod admin;
 mod admin_client;
+mod burn;
 mod check;
 #[cfg(feature = "demo")]
 mod demo;
+mod margin;
 mod plan;
 mod report;
 mod trace;
@@ -23,7 +25,7 @@
     Plan(plan::PlanOptions),
     #[cfg(feature = "demo")]
     Demo(demo::DemoOptions),
-    Report(report::BurnOptions),
+    Report(report::ReportOptions),
     Trace(trace::TraceOptions),
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod guide;
 mod isolation;
 mod lease;
+mod margin_report;
 mod membership;
 mod metrics;
 mod moves;
