--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -143,6 +143,7 @@
                 None => {
                     context.admission.counts().count_connection(true);
                     let guard = context.connections.enter();
+                    context.metrics.caller_connections.inc();
                     let connection = serve_connection(Arc::clone(context), stream, closing.clone());
                     tokio::spawn(async move {
                         connection.await;
@@ -155,6 +156,7 @@
                     context.admission.counts().count_connection(false);
                     log::info!(caller:% = caller; "connection closed: {reason}");
                     context.metrics.count_call(format!("connection closed: {reason}"));
+                    context.metrics.closed_connections.inc();
                 }
             },
             Err(error) => {
