Reproduce a large team at one small router in the simulated fleet

Evidence: the balancer sends all connections of some teams to one router of their zone, retries too: of 1,154 shed calls that came back in, 1,122 came to the same router, for all other refusals 14,980 of 16,619 came to another.

Change: the costs of the simulated routers are part of the plan; the plans before keep theirs.

--- a/tests/testsuite/fair_margin.rs
+++ b/tests/testsuite/fair_margin.rs
@@ -4,13 +4,14 @@
 //! for or of what the best served team got, whichever is less second by second, less three of the
 //! largest calls.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use godwitcrank::ids::TeamId;
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
-use super::support::fleet_plan::{FleetPlan, SimulatedTeam, TeamRecord};
+use super::support::fleet_plan::{FleetPlan, ProcessorCosts, SimulatedTeam, TeamRecord};
 use super::support::router_fleet::RouterFleet;
 
 /// Length of the rule's window, in seconds.
@@ -85,6 +86,7 @@
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
+        costs: ProcessorCosts::LOW,
         long_answers,
         length: Duration::from_secs(14),
         seed: 0,
@@ -112,6 +114,7 @@
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
+        costs: ProcessorCosts::LOW,
         long_answers: 0.0,
         length: Duration::from_secs(14),
         seed: 0,
@@ -136,6 +139,7 @@
         engines: 16,
         stated_rate: 2_800_000.0,
         teams,
+        costs: ProcessorCosts::LOW,
         long_answers: 0.0,
         length: Duration::from_secs(14),
         seed: 0,
@@ -150,3 +154,39 @@
 fn margin_large_team_with_long_answers() {
     expect_margins(&small_routers_plan(0.33), &["one-router"], WARM_UP_SECONDS);
 }
+
+/// Seeds of the test of a team that the balancer sends to one router.
+const PINNED_TEAM_SEEDS: RangeInclusive<u64> = 1..=5;
+
+/// Returns a plan with a large team whose callers and retries all meet one small router while the
+/// balancer has it in rotation, and two floods at all routers. One call of six has a long answer.
+fn pinned_team_plan() -> FleetPlan {
+    let mut teams = vec![
+        team("one-router", 240.0, Some(0)),
+        team("flood", 900.0, None),
+        team("second-flood", 500.0, None),
+    ];
+    teams.extend((0..10).map(|index| team(&format!("small-{index}"), 10.0, None)));
+    FleetPlan {
+        routers: vec![SMALL, SMALL, LARGE, SMALL, LARGE, SMALL, LARGE, LARGE],
+        engines: 16,
+        stated_rate: 2_800_000.0,
+        teams,
+        costs: ProcessorCosts::LARGE_FLEET,
+        long_answers: 0.16,
+        length: Duration::from_secs(9),
+        seed: 0,
+    }
+}
+
+/// Guards against a team that gets far less than the others because all its callers, and their
+/// retries, meet one small router that spends its time on refusing them. Fixed: two floods at all
+/// routers, one large team at one small router; routers of two sizes; equal engines.
+#[gtest]
+fn margin_large_team_pinned_to_small_router() {
+    for seed in PINNED_TEAM_SEEDS {
+        let records = RouterFleet::run(FleetPlan { seed, ..pinned_team_plan() });
+        let margin = least_margin(&records, "one-router", 0);
+        expect_that!(margin, ge(0.0), "seed {seed}{}", describe(&records));
+    }
+}
--- a/tests/testsuite/support/fleet_plan.rs
+++ b/tests/testsuite/support/fleet_plan.rs
@@ -21,6 +21,45 @@
     pub home: Option<usize>,
 }
 
+/// Processor time that a router spends, on a whole core.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessorCosts {
+    /// A call until it is dispatched.
+    pub call: Duration,
+    /// The answer of a call, without further writes.
+    pub answer: Duration,
+    /// Each write of a long answer.
+    pub write: Duration,
+    /// The answer of a call that the dispatcher refuses.
+    pub refusal: Duration,
+    /// A call that is refused for overload.
+    pub shed: Duration,
+    /// Fraction of a core that is used without calls.
+    pub fixed: f64,
+}
+
+impl ProcessorCosts {
+    /// The least that a router can do with.
+    pub const LOW: Self = Self {
+        call: Duration::from_micros(120),
+        answer: Duration::from_micros(80),
+        write: Duration::from_micros(16),
+        refusal: Duration::ZERO,
+        shed: Duration::from_micros(50),
+        fixed: 0.0,
+    };
+
+    /// Costs in a fleet of 29 routers, whose reports take time too.
+    pub const LARGE_FLEET: Self = Self {
+        call: Duration::from_micros(70),
+        answer: Duration::from_micros(130),
+        write: Duration::from_micros(16),
+        refusal: Duration::from_micros(15),
+        shed: Duration::from_micros(30),
+        fixed: 0.027,
+    };
+}
+
 /// Routers, engines and teams of a simulation.
 #[derive(Clone, Debug)]
 pub struct FleetPlan {
@@ -32,6 +71,8 @@
     pub stated_rate: f64,
     /// The teams.
     pub teams: Vec<SimulatedTeam>,
+    /// Processor time that routers spend.
+    pub costs: ProcessorCosts,
     /// Fraction of the calls that have a long answer and little other work.
     pub long_answers: f64,
     /// Simulated time.
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -20,13 +20,6 @@
 
 use super::fleet_plan::{FleetPlan, TeamRecord, dispatcher};
 
-/// Processor time of a call on a whole core until it is dispatched, of its answer, of each write of
-/// a long answer, and of a call that is refused for overload.
-const CALL_PROCESSOR_TIME: Duration = Duration::from_micros(120);
-const ANSWER_PROCESSOR_TIME: Duration = Duration::from_micros(80);
-const WRITE_PROCESSOR_TIME: Duration = Duration::from_micros(16);
-const REFUSAL_PROCESSOR_TIME: Duration = Duration::from_micros(50);
-
 /// Prompt tokens that an engine reads per second.
 const ENGINE_RATE: f64 = 110_000.0;
 
@@ -150,7 +143,7 @@
             .collect();
         let routers = (0..plan.routers.len())
             .map(|index| SimulatedRouter {
-                processor_share: plan.routers[index],
+                processor_share: plan.routers[index] - plan.costs.fixed,
                 dispatcher: dispatcher(index, &plan, start),
                 control: OverloadControl::new(plan.routers[index], start),
                 busy_until: start,
@@ -203,7 +196,7 @@
             }
             FleetEvent::Admitted { router, call, arrived } => self.enqueue(router, call, arrived),
             FleetEvent::FirstEvent { router, grant, sent_at, writes } => {
-                let delay = self.process(router, ANSWER_PROCESSOR_TIME);
+                let delay = self.process(router, self.plan.costs.answer);
                 self.schedule(delay, FleetEvent::FirstEventRead { router, grant, sent_at });
                 if writes > 1 {
                     self.schedule(delay, FleetEvent::Write { router, grant, left: writes });
@@ -249,7 +242,7 @@
 
     /// Writes a part of a long answer, of which `left` parts are left.
     fn write(&mut self, router: usize, grant: GrantId, left: u32) {
-        let delay = self.process(router, WRITE_PROCESSOR_TIME);
+        let delay = self.process(router, self.plan.costs.write);
         if left > 1 {
             let next = FleetEvent::Write { router, grant, left: left - 1 };
             self.schedule(delay + WRITE_INTERVAL, next);
@@ -294,6 +287,9 @@
 
     /// Adds work to the queue of a router's processor; returns the time until it is done.
     fn process(&mut self, router: usize, processor_time: Duration) -> Duration {
+        if processor_time.is_zero() {
+            return Duration::ZERO;
+        }
         let router = &mut self.routers[router];
         let time = processor_time.div_f64(router.processor_share);
         router.busy_until = router.busy_until.max(self.now) + time;
@@ -306,10 +302,10 @@
         let control = &mut self.routers[router].control;
         let cost = control.cost_of(Some(&call.prompt));
         if control.try_admit(cost, now) {
-            let delay = self.process(router, CALL_PROCESSOR_TIME);
+            let delay = self.process(router, self.plan.costs.call);
             self.schedule(delay, FleetEvent::Admitted { router, call, arrived: now });
         } else {
-            let delay = self.process(router, REFUSAL_PROCESSOR_TIME);
+            let delay = self.process(router, self.plan.costs.shed);
             self.retry(call, delay);
         }
     }
@@ -348,7 +344,10 @@
             let Some(call) = self.calls.swap_remove(&id) else { continue };
             match decision {
                 CallDecision::Send(grant) => self.send(router, &call, &grant.upstream, grant.id),
-                CallDecision::Refuse { retry_after, .. } => self.retry(call, retry_after),
+                CallDecision::Refuse { retry_after, .. } => {
+                    let delay = self.process(router, self.plan.costs.refusal);
+                    self.retry(call, delay + retry_after);
+                }
             }
         }
     }
