Look at once for tasks that the control thread has woken

Callers of an overloaded router read a refusal one to two seconds after it was decided. The traffic thread looks for tasks that another thread has woken only after 31 of its own, so while it is busy a decision of the control thread lies unread for that long; the call's upstream is granted meanwhile.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,6 +24,10 @@
 /// Maximum time for writing pending log lines before the process exits.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Tasks that run before the traffic thread looks for those that another thread has woken. The
+/// control thread wakes a task for each decision, and a busy thread would leave them for seconds.
+const GLOBAL_QUEUE_INTERVAL: u32 = 1;
+
 /// Exit code for usage errors and invalid settings.
 pub const EXIT_USAGE: u8 = 2;
 
@@ -116,7 +120,10 @@
     adapter: A,
     reload: impl Fn() -> Result<GatewaySettings, String> + Send + 'static,
 ) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .global_queue_interval(GLOBAL_QUEUE_INTERVAL)
+        .build();
     let result = runtime.wrap_err("cannot build the traffic runtime").and_then(|runtime| {
         runtime.block_on(async move {
             let stop = StopSignal::new();
