Charge the first call of a connection as it is accepted

An overloaded router accepted a new connection while its budget held a call, but the budget was charged only when the call was read, many turns of the task queue later. A call that is read and shed costs half of one that is served.

A connection is now charged for a call of mean cost when it is accepted, and for the rest when the call is read; the budget may be in debt for that, by a burst at most.

`direct_rules::try_admit_connection_late_charges_at_once`: on the code before, the same test against `can_accept_connection` admitted 200 of 200 connections of one moment (bound 19). `admit_charged_long_answer_is_paid_later` guards the second half.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -39,7 +39,7 @@
 pub use drain_schedule::{DrainSchedule, PlannedSend};
 pub use load::{ColdLimiter, PrefixCache, UpstreamLoad};
 pub use overload::{CallLimiter, LoadSample, OverloadDetector};
-pub use overload_control::OverloadControl;
+pub use overload_control::{ConnectionAdmission, OverloadControl};
 pub use part_evidence::{CrashSighting, PartReport, ReceivedPart};
 pub use part_suspects::{BrokenCall, PartSuspects, PartVerdict};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
--- a/src/decision/direct/overload.rs
+++ b/src/decision/direct/overload.rs
@@ -67,11 +67,20 @@
     /// Charges a call with this cost, or its refusal; returns whether the call is admitted.
     pub fn try_admit(&mut self, cost: f64, now: Instant) -> bool {
         let has_budget = self.has_budget(cost, now);
-        let charge = if has_budget { cost } else { REFUSAL_COST };
-        self.budget = (self.budget - charge).max(0.0);
+        if has_budget {
+            self.charge(cost);
+        } else if self.budget > 0.0 {
+            self.budget = (self.budget - REFUSAL_COST).max(0.0);
+        }
         has_budget
     }
 
+    /// Charges work with this cost, whatever the budget. A debt of more than a burst is forgotten.
+    pub fn charge(&mut self, cost: f64) {
+        let burst = burst(self.rate);
+        self.budget = (self.budget - cost).clamp(-burst, burst);
+    }
+
     /// Refills the bucket and returns whether it holds a call with this cost. A full bucket holds
     /// any call.
     pub fn has_budget(&mut self, cost: f64, now: Instant) -> bool {
--- a/src/decision/direct/overload_control.rs
+++ b/src/decision/direct/overload_control.rs
@@ -7,8 +7,20 @@
 use super::overload::{CallLimiter, LoadSample, OverloadDetector, REFUSAL_COST, SAMPLE_WEIGHT};
 use super::sustainable_rate::SustainableRate;
 
-/// Smallest budget with which a new connection is served: that of a call of mean cost.
-const CONNECTION_BUDGET: f64 = 1.0;
+/// Cost that is charged for the first call of a connection before it is read: that of a call of
+/// mean cost.
+const CONNECTION_COST: f64 = 1.0;
+
+/// Decision about a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionAdmission {
+    /// It is served, and its first call is charged when it is read.
+    Unlimited,
+    /// It is served, and its first call is charged already.
+    Charged,
+    /// The processor has no time for it.
+    Refused,
+}
 
 /// Limits the calls of a router to what its own samples show that it sustains.
 #[derive(Debug)]
@@ -77,9 +89,23 @@
         is_admitted
     }
 
-    /// Returns whether a new connection may be served; only limited under overload.
-    pub fn can_accept_connection(&mut self, now: Instant) -> bool {
-        !self.limiting || self.limiter.has_budget(CONNECTION_BUDGET, now)
+    /// Decides about a new connection. Under overload its first call is charged at once: until it
+    /// is read, many more connections would find the same budget.
+    pub fn try_admit_connection(&mut self, now: Instant) -> ConnectionAdmission {
+        if !self.limiting {
+            return ConnectionAdmission::Unlimited;
+        }
+        if !self.limiter.has_budget(CONNECTION_COST, now) {
+            return ConnectionAdmission::Refused;
+        }
+        self.limiter.charge(CONNECTION_COST);
+        ConnectionAdmission::Charged
+    }
+
+    /// Counts a call with this cost, whose connection was charged for it.
+    pub fn admit_charged(&mut self, cost: f64) {
+        self.limiter.charge(cost - CONNECTION_COST);
+        self.admitted += cost;
     }
 
     /// Records how late a timer fired `interval` after the last one, and the fraction of the
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -35,9 +35,10 @@
     head: request::Parts,
     body: Incoming,
     arrived: Instant,
+    is_charged: bool,
 ) -> Result<AdmittedCall, GatewayRefusal> {
     let metadata = context.adapter.codec().read_head(&head);
-    let within_rate = context.admission.try_admit(metadata.as_ref().ok(), arrived);
+    let within_rate = context.admission.try_admit(metadata.as_ref().ok(), is_charged, arrived);
     let table = context.table.borrow().clone();
     let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
     let limit = context.limits().body_bytes;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::Shutdown;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use http::header::CONNECTION;
@@ -23,7 +23,7 @@
 use super::pool::set_timeouts;
 use super::relay::{AnswerBody, full_body};
 use super::tracked_body::TrackedBody;
-use crate::decision::direct::DrainSchedule;
+use crate::decision::direct::{ConnectionAdmission, DrainSchedule};
 use crate::lifecycle::daemon::{DrainingDaemon, ServingDaemon, StartingSlot};
 use crate::routing::CallerLimits;
 use crate::supervisor::StopSignal;
@@ -139,12 +139,13 @@
 ) -> eyre::Result<()> {
     loop {
         match listener.accept().await {
-            Ok((stream, caller)) => match refuse_connection(context) {
-                None => {
+            Ok((stream, caller)) => match admit_connection(context) {
+                Ok(is_charged) => {
                     context.admission.counts().count_connection(true);
                     let guard = context.connections.enter();
                     context.metrics.caller_connections.inc();
-                    let connection = serve_connection(Arc::clone(context), stream, closing.clone());
+                    let context = Arc::clone(context);
+                    let connection = serve_connection(context, stream, is_charged, closing.clone());
                     tokio::spawn(async move {
                         connection.await;
                         drop(guard);
@@ -152,7 +153,7 @@
                 }
                 // A connection that is closed without a response allows the caller to try another
                 // router.
-                Some(reason) => {
+                Err(reason) => {
                     context.admission.counts().count_connection(false);
                     log::info!(caller:% = caller; "connection closed: {reason}");
                     context.metrics.count_call(format!("connection closed: {reason}"));
@@ -176,20 +177,23 @@
     }
 }
 
-/// Returns why a new connection is closed unread, if it is.
-fn refuse_connection<A: GatewayAdapter>(context: &GatewayContext<A>) -> Option<&'static str> {
+/// Decides about a new connection; returns whether its first call is charged already, or why it is
+/// closed unread.
+fn admit_connection<A: GatewayAdapter>(context: &GatewayContext<A>) -> Result<bool, &'static str> {
     if context.connections.count() >= context.connection_limit {
-        Some("too many are open")
-    } else if !context.admission.control().can_accept_connection(Instant::now()) {
-        Some("overloaded")
-    } else {
-        None
+        return Err("too many are open");
+    }
+    match context.admission.control().try_admit_connection(Instant::now()) {
+        ConnectionAdmission::Unlimited => Ok(false),
+        ConnectionAdmission::Charged => Ok(true),
+        ConnectionAdmission::Refused => Err("overloaded"),
     }
 }
 
 async fn serve_connection<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
     stream: TcpStream,
+    is_charged: bool,
     closing: StopSignal,
 ) {
     if let Err(error) = set_timeouts(&stream) {
@@ -199,13 +203,15 @@
     let limits = context.limits();
     let service = {
         let context = Arc::clone(&context);
+        let is_next_charged = AtomicBool::new(is_charged);
         service_fn(move |request| {
             let context = Arc::clone(&context);
+            let is_charged = is_next_charged.swap(false, Ordering::Relaxed);
             // Without the box, hyper reserves the size of the whole future on every idle
             // connection.
             Box::pin(async move {
                 let guard = context.in_flight.enter();
-                let mut answer = handle(Arc::clone(&context), request).await;
+                let mut answer = handle(Arc::clone(&context), request, is_charged).await;
                 if context.drain.get().is_some() || *context.overloaded.borrow() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -235,10 +241,11 @@
 async fn handle<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
     request: Request<Incoming>,
+    is_charged: bool,
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    match admit(&context, head, body, arrived).await {
+    match admit(&context, head, body, arrived, is_charged).await {
         Ok(admitted_call) => CallRun::new(context, admitted_call).answer().await,
         Err(refusal) => {
             context.metrics.count_call(format!("refused {}", refusal.status().as_u16()));
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -41,11 +41,21 @@
     }
 
     /// Counts a call and returns whether the processor has time for it; `call` is absent when its
-    /// head is invalid.
-    pub(super) fn try_admit(&self, call: Option<&CallMetadata>, now: Instant) -> bool {
+    /// head is invalid, `is_charged` says whether it was charged as its connection was accepted.
+    pub(super) fn try_admit(
+        &self,
+        call: Option<&CallMetadata>,
+        is_charged: bool,
+        now: Instant,
+    ) -> bool {
         let mut control = self.control();
         let cost = control.cost_of(call.and_then(|call| call.prompt.as_ref()));
-        let is_admitted = control.try_admit(cost, now);
+        let is_admitted = if is_charged {
+            control.admit_charged(cost);
+            true
+        } else {
+            control.try_admit(cost, now)
+        };
         self.counts.count_call(is_admitted);
         is_admitted
     }
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    CallLimiter, CostEstimate, FairLevel, LoadSample, OverloadControl, OverloadDetector,
-    PeerReport, PeerTable, PromptShape, RetryBudget, SlidingCounter, StageChange, TeamDemand,
-    TeamUsage, TrialCount, TrialStage, VersionTrial,
+    CallLimiter, ConnectionAdmission, CostEstimate, FairLevel, LoadSample, OverloadControl,
+    OverloadDetector, PeerReport, PeerTable, PromptShape, RetryBudget, SlidingCounter, StageChange,
+    TeamDemand, TeamUsage, TrialCount, TrialStage, VersionTrial,
 };
 use godwitcrank::ids::NodeId;
 use godwitcrank::routing::MoveOrder;
@@ -405,3 +405,55 @@
     expect_that!(after, ge(2.0 * before));
     expect_that!(costs.cost_of(None), lt(before));
 }
+
+/// Guards against connections that all find the same budget, since their calls are charged only as
+/// they are read: an overloaded router then accepts far more than it serves, and sheds their calls.
+#[gtest]
+fn try_admit_connection_late_charges_at_once() {
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let mut now = Instant::now();
+    let mut control = OverloadControl::new(0.1, now);
+    for _ in 0..20 {
+        for _ in 0..100 {
+            control.try_admit(1.0, now);
+        }
+        now += INTERVAL;
+        control.record(Duration::from_millis(60), 0.1, INTERVAL, now);
+    }
+    let admissions: Vec<_> = (0..200).map(|_| control.try_admit_connection(now)).collect();
+    let charged =
+        admissions.iter().filter(|admission| **admission == ConnectionAdmission::Charged).count();
+    let refused =
+        admissions.iter().filter(|admission| **admission == ConnectionAdmission::Refused).count();
+    // A burst of 75 ms at the lowest rate, 250 calls per second.
+    expect_that!(charged, all!(ge(1), le(19)));
+    expect_that!(charged + refused, eq(200));
+}
+
+/// Guards against calls with long answers that pay for a short one, since their connections were
+/// charged before they were read.
+#[gtest]
+fn admit_charged_long_answer_is_paid_later() {
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let mut now = Instant::now();
+    let mut control = OverloadControl::new(0.1, now);
+    let mut admitted = 0;
+    for _ in 0..60 {
+        for _ in 0..40 {
+            now += INTERVAL / 40;
+            match control.try_admit_connection(now) {
+                ConnectionAdmission::Unlimited => {
+                    control.try_admit(4.0, now);
+                }
+                ConnectionAdmission::Charged => {
+                    control.admit_charged(4.0);
+                    admitted += 1;
+                }
+                ConnectionAdmission::Refused => {}
+            }
+        }
+        control.record(Duration::from_millis(60), 0.1, INTERVAL, now);
+    }
+    // Calls of mean cost: a second at the first rate, five at the lowest one, and a burst.
+    expect_that!(admitted, all!(ge(100), le((400 + 5 * 250 + 30) / 4)));
+}
