Hand connections over to routers with processor time to spare

A team whose callers all meet one router gets far less than its share while others are served.

Change: a router that limits its calls relays new connections, unread, to routers that offer spare time in their reports; those serve one call on each. The findings of the review are in it: a relay ends with 504 when no answer begins in time or the router must end, the target is chosen when the call arrives, offers of routers with an older configuration or of busy ones do not count, a router that cannot be reached is left out for a second.

The simulated fleet now has a connection for each call; its cost of a hand-over is assumed, not measured. Real programs: `handoff::starved_router_spare_router_answers`, `stop_handed_over_streams_end`.

--- a/src/decision/direct/overload.rs
+++ b/src/decision/direct/overload.rs
@@ -149,6 +149,11 @@
         self.demand
     }
 
+    /// Returns whether callers are shed.
+    pub fn is_overloaded(&self) -> bool {
+        self.overloaded
+    }
+
     /// Returns whether timers are late while the demand is high. High demand tells a shortage of
     /// processor time from the pauses of a processor quota, so the limit on lateness can be low.
     pub fn is_short_of_time(&self) -> bool {
--- a/src/decision/direct/overload_control.rs
+++ b/src/decision/direct/overload_control.rs
@@ -11,6 +11,16 @@
 /// mean cost.
 const CONNECTION_COST: f64 = 1.0;
 
+/// Processor time of a connection that is handed over, relative to that of a call with eight writes.
+const HANDOFF_COST: f64 = 0.35;
+
+/// Fraction of the sustainable rate up to which a router serves the callers of others.
+const OFFERED_FRACTION: f64 = 0.5;
+
+/// Averaged lateness of timers and fraction of the connections in use up to which it does.
+const MAX_OFFER_LATENESS: Duration = Duration::from_millis(10);
+const MAX_OFFER_CONNECTIONS: f64 = 0.5;
+
 /// Decision about a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionAdmission {
@@ -35,7 +45,10 @@
     /// Cost that the calls which were refused since then would have had, and their number.
     refused: f64,
     refusals: u32,
+    /// Connections that were handed over since then.
+    handoffs: u32,
     served: f64,
+    connections_used: f64,
 }
 
 impl OverloadControl {
@@ -50,7 +63,9 @@
             admitted: 0.0,
             refused: 0.0,
             refusals: 0,
+            handoffs: 0,
             served: 0.0,
+            connections_used: 0.0,
         };
         control.apply_rate();
         control
@@ -108,6 +123,29 @@
         self.admitted += cost;
     }
 
+    /// Records that a connection is handed over to another router.
+    pub fn record_handoff(&mut self) {
+        self.limiter.charge(HANDOFF_COST);
+        self.handoffs += 1;
+    }
+
+    /// Returns whether calls are limited.
+    pub fn is_limiting(&self) -> bool {
+        self.limiting
+    }
+
+    /// Returns the calls per second that the router has time for, besides those that it serves.
+    pub fn spare_rate(&self) -> f64 {
+        let is_busy = self.limiting
+            || self.detector.is_overloaded()
+            || self.detector.lateness() > MAX_OFFER_LATENESS
+            || self.connections_used > MAX_OFFER_CONNECTIONS;
+        if is_busy {
+            return 0.0;
+        }
+        (self.rate.per_second() * OFFERED_FRACTION - self.served).max(0.0)
+    }
+
     /// Records how late a timer fired `interval` after the last one, and the fraction of the
     /// connections in use; returns the new state when the overload begins or ends.
     pub fn record(
@@ -120,10 +158,12 @@
         let admitted = std::mem::take(&mut self.admitted);
         let refused = std::mem::take(&mut self.refused);
         let refusals = f64::from(std::mem::take(&mut self.refusals));
-        let calls = admitted + refused;
+        let handoffs = f64::from(std::mem::take(&mut self.handoffs));
+        let calls = admitted + refused + handoffs;
+        self.connections_used = connections_used;
         let sample = LoadSample { lateness, connections_used, calls, interval };
         let change = self.detector.record(sample, now);
-        let served = admitted + REFUSAL_COST * refusals;
+        let served = admitted + REFUSAL_COST * refusals + HANDOFF_COST * handoffs;
         let served = served / interval.as_secs_f64().max(f64::EPSILON);
         self.served += SAMPLE_WEIGHT * (served - self.served);
         self.update_rate();
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::handoff::HandoffOffer;
 use super::part_evidence::{PartReport, ReceivedPart};
 use super::team_usage::{TeamDemand, TeamUsage};
 use crate::ids::{
@@ -121,6 +122,9 @@
     /// What it knows of suspected parts of prompts.
     #[serde(default)]
     pub parts: Vec<PartReport>,
+    /// What it would serve for the callers of other routers.
+    #[serde(default)]
+    pub offer: Option<HandoffOffer>,
 }
 
 impl PeerReport {
@@ -141,6 +145,7 @@
             view_ages: Vec::new(),
             refused: Vec::new(),
             parts: Vec::new(),
+            offer: None,
         }
     }
 
@@ -263,6 +268,16 @@
         self.alive(now).map(|(node, peer)| (node, peer.report.trials.as_slice()))
     }
 
+    /// Returns the offers of the peers that reported lately and have the operators' part of the
+    /// view in this revision or a newer one, so that no call is handled by an older configuration.
+    pub fn offers(&self, operators: StoreRevision, now: Instant) -> Vec<HandoffOffer> {
+        self.alive(now)
+            .filter(|(_, peer)| now.duration_since(peer.received_at) < LOAD_TTL)
+            .filter(|(_, peer)| peer.report.operators >= operators)
+            .filter_map(|(_, peer)| peer.report.offer.clone())
+            .collect()
+    }
+
     /// Returns the addresses of the peers that are alive.
     pub fn addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         self.alive(now).map(|(_, peer)| peer.report.address)
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,7 +1,6 @@
-//! Server for callers: accepts connections, and admits and runs their calls.
+//! Server for callers: runs the calls on their connections, and its graceful shutdown.
 
 use std::convert::Infallible;
-use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -12,10 +11,10 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use super::GatewayContext;
+use super::accept::{CallerListeners, ConnectionOrigin, accept_callers};
 use super::adapter::{CallCodec, GatewayAdapter};
 use super::admit::admit;
 use super::call_run::CallRun;
@@ -23,7 +22,7 @@
 use super::pool::set_timeouts;
 use super::relay::{AnswerBody, full_body};
 use super::tracked_body::TrackedBody;
-use crate::decision::direct::{ConnectionAdmission, DrainSchedule};
+use crate::decision::direct::DrainSchedule;
 use crate::lifecycle::daemon::{DrainingDaemon, ServingDaemon, StartingSlot};
 use crate::routing::CallerLimits;
 use crate::supervisor::StopSignal;
@@ -42,12 +41,12 @@
 /// Serves callers until `stop` is cancelled and the last call has ended.
 pub async fn serve<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
-    listener: Arc<TcpListener>,
+    listeners: Arc<CallerListeners>,
     starting: StartingSlot,
     stop: StopSignal,
 ) -> eyre::Result<()> {
     let closing = StopSignal::new();
-    let accepting = accept_callers(&context, &listener, &closing);
+    let accepting = accept_callers(&context, &listeners, &closing);
     let serving = async {
         match start_serving(&context, &starting, &stop).await {
             Some(serving) => Some(serve_until_stopped(&context, serving, &stop).await),
@@ -71,7 +70,7 @@
         accepted = &mut accepting => accepted?,
         () = tokio::time::sleep_until(schedule.accept_until().into()) => {}
     }
-    close_listener(&listener);
+    listeners.stop_listening();
     closing.cancel();
     // Waits for connections and not only for calls: a call may have arrived on a connection that
     // was about to be closed.
@@ -132,70 +131,21 @@
     }
 }
 
-async fn accept_callers<A: GatewayAdapter>(
-    context: &Arc<GatewayContext<A>>,
-    listener: &TcpListener,
-    closing: &StopSignal,
-) -> eyre::Result<()> {
-    loop {
-        match listener.accept().await {
-            Ok((stream, caller)) => match admit_connection(context) {
-                Ok(is_charged) => {
-                    context.admission.counts().count_connection(true);
-                    let guard = context.connections.enter();
-                    context.metrics.caller_connections.inc();
-                    let context = Arc::clone(context);
-                    let connection = serve_connection(context, stream, is_charged, closing.clone());
-                    tokio::spawn(async move {
-                        connection.await;
-                        drop(guard);
-                    });
-                }
-                // A connection that is closed without a response allows the caller to try another
-                // router.
-                Err(reason) => {
-                    context.admission.counts().count_connection(false);
-                    log::info!(caller:% = caller; "connection closed: {reason}");
-                    context.metrics.count_call(format!("connection closed: {reason}"));
-                    context.metrics.closed_connections.inc();
-                }
-            },
-            Err(error) => {
-                // File descriptors may be used up for a moment; they are released as connections
-                // end.
-                log::warn!("cannot accept a connection: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+/// A connection that this router serves, of a caller or of another router for one of its callers.
+pub(super) struct CallerConnection {
+    pub(super) stream: TcpStream,
+    pub(super) origin: ConnectionOrigin,
+    /// Whether the first call was charged as the connection was accepted.
+    pub(super) is_charged: bool,
 }
 
-/// Stops listening, so that connections are refused and do not wait unread until the process ends.
-fn close_listener(listener: &TcpListener) {
-    if let Err(error) = SockRef::from(listener).shutdown(Shutdown::Both) {
-        log::warn!("cannot close the listener: {error}");
-    }
-}
-
-/// Decides about a new connection; returns whether its first call is charged already, or why it is
-/// closed unread.
-fn admit_connection<A: GatewayAdapter>(context: &GatewayContext<A>) -> Result<bool, &'static str> {
-    if context.connections.count() >= context.connection_limit {
-        return Err("too many are open");
-    }
-    match context.admission.control().try_admit_connection(Instant::now()) {
-        ConnectionAdmission::Unlimited => Ok(false),
-        ConnectionAdmission::Charged => Ok(true),
-        ConnectionAdmission::Refused => Err("overloaded"),
-    }
-}
-
-async fn serve_connection<A: GatewayAdapter>(
+/// Serves the calls on a connection; when `closing` is cancelled, it ends as soon as it is idle.
+pub(super) async fn serve_connection<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
-    stream: TcpStream,
-    is_charged: bool,
+    connection: CallerConnection,
     closing: StopSignal,
 ) {
+    let CallerConnection { stream, origin, is_charged } = connection;
     if let Err(error) = set_timeouts(&stream) {
         log::debug!("caller's connection ended before it was set up: {error}");
         return;
@@ -212,7 +162,7 @@
             Box::pin(async move {
                 let guard = context.in_flight.enter();
                 let mut answer = handle(Arc::clone(&context), request, is_charged).await;
-                if context.drain.get().is_some() || *context.overloaded.borrow() {
+                if origin == ConnectionOrigin::Router || context.sends_callers_away() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, guard)))
@@ -258,6 +208,12 @@
 pub type CallCounter = AtomicU64;
 
 impl<A: GatewayAdapter> GatewayContext<A> {
+    /// Returns whether connections are closed after an answer, so that callers open new ones, which
+    /// may reach other routers.
+    fn sends_callers_away(&self) -> bool {
+        self.drain.get().is_some() || *self.overloaded.borrow() || self.admission.hands_over()
+    }
+
     /// Returns the limits on callers in force.
     pub(super) fn limits(&self) -> CallerLimits {
         self.table.borrow().as_ref().map_or(INITIAL_LIMITS, |table| table.limits())
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -19,7 +19,7 @@
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, DirectDispatcher, PeerReport, StageChange, TrialStage,
+    CallDecision, CallOutcome, DirectDispatcher, HandoffOffer, PeerReport, StageChange, TrialStage,
     ViewFreshness, trial_counts,
 };
 use crate::ids::{CallId, Incarnation, NodeId, StoreRevision};
@@ -39,6 +39,9 @@
 /// Maximum number of events that are handled before the next dispatch.
 const EVENT_BATCH: usize = 64;
 
+/// Smallest rate that is offered to other routers, in calls per second.
+const MIN_OFFERED_RATE: f64 = 20.0;
+
 /// Time for which a peer's view must be ahead before it is fetched.
 const MAX_BEHIND_TIME: Duration = Duration::from_millis(250);
 
@@ -60,6 +63,8 @@
     pub checks: Arc<CheckSignals>,
     /// Channel on which route tables are published.
     pub table: Arc<watch::Sender<Option<Arc<RouteTable>>>>,
+    /// Channel on which the offers of other routers are published.
+    pub offers: Arc<watch::Sender<Vec<HandoffOffer>>>,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
 }
@@ -108,6 +113,7 @@
     work_log: WorkLog,
     behind_since: Option<Instant>,
     leaving: bool,
+    spare_rate: f64,
 }
 
 impl ControlState {
@@ -131,6 +137,7 @@
             work_log: WorkLog::default(),
             behind_since: None,
             leaving: false,
+            spare_rate: 0.0,
         }
     }
 
@@ -163,6 +170,7 @@
                 }
             }
             ControlEvent::Shed(shed) => self.dispatcher.work_mut().record_shed(&shed),
+            ControlEvent::SpareRate(rate) => self.spare_rate = rate,
             ControlEvent::View { batch, origin, confirmed_at } => {
                 let (part, revision) = (batch.part, batch.revision);
                 let context = self.change_context(origin, part, now);
@@ -183,7 +191,7 @@
                 // The receiver is gone when the requesting router gave up.
                 let _ = reply.send(self.view.export());
             }
-            ControlEvent::Report(report) => self.dispatcher.record_report(report, now),
+            ControlEvent::Report(report) => self.dispatcher.record_report(*report, now),
             ControlEvent::Members(members) => self.update_members(members),
             ControlEvent::MoveRecorded(record) => self.apply_move_record(&record),
             ControlEvent::ShuttingDown => self.leaving = true,
@@ -247,6 +255,7 @@
         self.fetch_newer_view(now);
         self.request_checks(now);
         self.send_report(now);
+        self.publish_offers(now);
         let metrics = &self.context.metrics;
         self.work_log.update(&mut self.dispatcher, metrics, &self.context.settings, now);
         metrics.waiting.set(i64::try_from(self.dispatcher.waiting()).unwrap_or(i64::MAX));
@@ -322,6 +331,7 @@
             operators: self.view.usable_revision(ViewPart::Operators),
             upstreams: self.view.usable_revision(ViewPart::Upstreams),
             leaving: self.leaving,
+            offer: self.offer(),
             view_ages: ViewPart::ALL
                 .into_iter()
                 .filter_map(|part| Some((part, self.freshness.age(part, now)?)))
@@ -337,6 +347,24 @@
         }
     }
 
+    /// Returns what this router would serve for the callers of other routers.
+    fn offer(&self) -> Option<HandoffOffer> {
+        let settings = &self.context.settings;
+        let address = settings.handoff?;
+        let is_serving = !self.leaving && self.view.configuration().is_some();
+        (is_serving && self.spare_rate >= MIN_OFFERED_RATE).then(|| HandoffOffer {
+            address,
+            data_centre: Arc::clone(&settings.data_centre),
+            spare_rate: self.spare_rate,
+        })
+    }
+
+    fn publish_offers(&self, now: Instant) {
+        let operators = self.view.revision(ViewPart::Operators);
+        let offers = self.dispatcher.peers().offers(operators, now);
+        self.context.offers.send_replace(offers);
+    }
+
     fn evaluate_moves(&mut self, now: Instant) {
         let routers = self.dispatcher.peers().router_count(now);
         let services: Vec<_> = self.dispatcher.trials_mut().keys().cloned().collect();
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -59,6 +59,8 @@
     },
     /// Calls that were refused because of overload.
     Shed(Vec<ShedCall>),
+    /// Calls per second that this router has time for, besides those that it serves.
+    SpareRate(f64),
     /// Changes from the source.
     View {
         /// The changes.
@@ -84,7 +86,7 @@
     /// Request of another router for the view.
     Export(oneshot::Sender<ViewSnapshot>),
     /// Report of another router.
-    Report(PeerReport),
+    Report(Box<PeerReport>),
     /// Routers' entries in the store.
     Members(Vec<MemberEntry>),
     /// Record of a version move in the store.
--- /dev/null
+++ b/src/gateway/handoff.rs
@@ -0,0 +1,130 @@
+//! Hands callers' connections over to other routers.
+//!
+//! The bytes of both directions are relayed unread. The other router serves one call on the
+//! connection and closes it.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, copy_buf};
+use tokio::net::TcpStream;
+
+use super::GatewayContext;
+use super::adapter::GatewayAdapter;
+use super::pool::set_timeouts;
+use crate::supervisor::StopSignal;
+
+/// Time limit for opening a connection to another router: several round trips between data centres.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Sizes of the buffers for a call and for its answer, in bytes.
+const CALL_BUFFER_BYTES: usize = 16 << 10;
+const ANSWER_BUFFER_BYTES: usize = 4 << 10;
+
+/// Answer to a call that the other router has not begun to answer in time. It may have run.
+const TIMEOUT_ANSWER: &[u8] =
+    b"HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Returns whether connections may be handed over now. None are during a shutdown, as a call might
+/// not end before the process does, nor while a call may be bound to a region.
+pub(super) fn may_hand_over<A: GatewayAdapter>(context: &GatewayContext<A>) -> bool {
+    context.drain.get().is_none()
+        && context.table.borrow().as_ref().is_some_and(|table| !table.has_homes())
+        && context.admission.targets().is_available()
+}
+
+/// Waits for a call on a caller's connection and relays it to another router until one side ends
+/// the connection. It is closed unread if no router can be reached, and when `closing` is cancelled
+/// before the call arrives.
+pub(super) async fn hand_over<A: GatewayAdapter>(
+    context: Arc<GatewayContext<A>>,
+    caller: TcpStream,
+    closing: StopSignal,
+) {
+    let has_call = tokio::select! {
+        has_call = wait_for_call(&caller, context.limits().idle_time) => has_call,
+        () = closing.cancelled() => false,
+    };
+    if !has_call || !may_hand_over(&context) {
+        return;
+    }
+    let Some(target) = context.admission.take_target() else { return };
+    match connect(target).await {
+        Ok(router) => {
+            // The caller's connection is counted already.
+            let _guard = context.connections.enter();
+            context.metrics.count_call("handed over");
+            if let Err(error) = relay_call(&context, caller, router).await {
+                log::debug!("a connection that was handed over ended: {error}");
+            }
+        }
+        Err(error) => {
+            context.admission.targets().record_unreachable(target, Instant::now());
+            context.metrics.count_call("connection closed: not handed over");
+            log::info!(router:% = target; "connection closed: cannot hand it over: {error}");
+        }
+    }
+}
+
+/// Returns whether the first bytes of a call arrived within the limit.
+async fn wait_for_call(caller: &TcpStream, limit: Duration) -> bool {
+    matches!(tokio::time::timeout(limit, caller.readable()).await, Ok(Ok(())))
+}
+
+async fn connect(target: SocketAddr) -> io::Result<TcpStream> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await??;
+    set_timeouts(&stream)?;
+    Ok(stream)
+}
+
+async fn relay_call<A: GatewayAdapter>(
+    context: &GatewayContext<A>,
+    caller: TcpStream,
+    router: TcpStream,
+) -> io::Result<()> {
+    set_timeouts(&caller)?;
+    let limit = context.table.borrow().as_ref().map_or(Duration::ZERO, |table| table.max_timeout());
+    let give_up = async {
+        tokio::select! {
+            () = tokio::time::sleep(limit) => {}
+            () = context.answers_due.cancelled() => {}
+        }
+    };
+    relay_bytes(caller, router, give_up).await
+}
+
+/// Copies bytes in both directions until the answer ends or the caller leaves. If no answer has
+/// begun when `give_up` completes, the caller is told that its call timed out.
+async fn relay_bytes(
+    mut caller: TcpStream,
+    mut router: TcpStream,
+    give_up: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let (from_caller, mut to_caller) = caller.split();
+    let (from_router, mut to_router) = router.split();
+    let mut call = BufReader::with_capacity(CALL_BUFFER_BYTES, from_caller);
+    let mut answer = BufReader::with_capacity(ANSWER_BUFFER_BYTES, from_router);
+    let answering = async {
+        let has_begun = tokio::select! {
+            begun = answer.fill_buf() => begun.map(|_| true)?,
+            () = give_up => false,
+        };
+        if !has_begun {
+            return to_caller.write_all(TIMEOUT_ANSWER).await;
+        }
+        copy_buf(&mut answer, &mut to_caller).await.map(drop)
+    };
+    tokio::pin!(answering);
+    tokio::select! {
+        ended = &mut answering => ended,
+        sent = copy_buf(&mut call, &mut to_router) => match sent {
+            // The caller has left.
+            Ok(_) => Ok(()),
+            // The router may have answered before it closed the connection.
+            Err(_) => answering.await,
+        },
+    }
+}
--- a/src/gateway/load_log.rs
+++ b/src/gateway/load_log.rs
@@ -18,6 +18,7 @@
     admitted: AtomicU32,
     shed: AtomicU32,
     accepted: AtomicU32,
+    handed_over: AtomicU32,
     closed: AtomicU32,
 }
 
@@ -27,6 +28,7 @@
     admitted: u32,
     shed: u32,
     accepted: u32,
+    handed_over: u32,
     closed: u32,
 }
 
@@ -43,11 +45,17 @@
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a connection that is handed over to another router.
+    pub(super) fn count_handoff(&self) {
+        self.handed_over.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn take(&self) -> LoadCount {
         LoadCount {
             admitted: self.admitted.swap(0, Ordering::Relaxed),
             shed: self.shed.swap(0, Ordering::Relaxed),
             accepted: self.accepted.swap(0, Ordering::Relaxed),
+            handed_over: self.handed_over.swap(0, Ordering::Relaxed),
             closed: self.closed.swap(0, Ordering::Relaxed),
         }
     }
@@ -81,7 +89,7 @@
         self.updated_at = now;
         let max_lateness = std::mem::take(&mut self.max_lateness);
         let count = context.admission.counts().take();
-        if max_lateness > MIN_LOGGED_LATENESS || count.shed + count.closed > 0 {
+        if max_lateness > MIN_LOGGED_LATENESS || count.shed + count.handed_over + count.closed > 0 {
             log_load(context, interval, max_lateness, count);
         }
     }
@@ -99,7 +107,7 @@
     log::warn!(
         interval_ms = interval.as_millis() as u64,
         admitted = count.admitted, shed = count.shed,
-        accepted = count.accepted, closed = count.closed,
+        accepted = count.accepted, handed_over = count.handed_over, closed = count.closed,
         lateness_ms = detector.lateness().as_millis() as u64,
         max_lateness_ms = max_lateness.as_millis() as u64,
         demand = detector.demand(), sustainable_rate = control.sustainable_rate().round(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! readiness endpoint and the callers' server. The `adapter` module is the interface to the
 //! platform.
 
+mod accept;
 mod adapter;
 mod admit;
 mod answer_body;
@@ -19,6 +20,7 @@
 mod events;
 mod follow;
 mod grant_guard;
+mod handoff;
 mod load_log;
 mod members;
 mod moves;
@@ -38,13 +40,13 @@
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::{Mutex, Semaphore, watch};
 use viz::{Request, Router};
 
 use crate::clock::incarnation;
 use crate::daemon::ready_response;
-use crate::decision::direct::DrainSchedule;
+use crate::decision::direct::{DrainSchedule, HandoffOffer};
 use crate::ids::Incarnation;
 use crate::in_flight::InFlightCounter;
 use crate::lifecycle::daemon::{ReadyWatch, StartingDaemon, StartingSlot};
@@ -61,6 +63,7 @@
 pub use observe::GatewayMetrics;
 pub use settings::GatewaySettings;
 
+use accept::CallerListeners;
 use admit::MEMORY_UNIT;
 use caller::CallCounter;
 use control::{ControlContext, OutboxReceivers, TableWatch, control_channels, run_control};
@@ -83,6 +86,7 @@
     control: ControlSender,
     checks: Arc<CheckSignals>,
     table: TableWatch,
+    offers: watch::Receiver<Vec<HandoffOffer>>,
     pool: UpstreamPool,
     memory: Arc<Semaphore>,
     calls: CallCounter,
@@ -107,7 +111,7 @@
 
 /// Bound sockets of a gateway.
 struct GatewaySockets {
-    caller: Arc<TcpListener>,
+    callers: Arc<CallerListeners>,
     ready: ListenerSlot,
     peer: ListenerSlot,
     reports: Arc<UdpSocket>,
@@ -132,6 +136,7 @@
         let (outbox, receivers) = control_channels();
         let checks = Arc::new(CheckSignals::default());
         let (table_sender, table) = watch::channel(None);
+        let (offer_sender, offers) = watch::channel(Vec::new());
         let metrics = Arc::new(GatewayMetrics::default());
         let incarnation = incarnation();
         let (starting, ready) = StartingDaemon::new();
@@ -142,6 +147,7 @@
             control,
             checks: Arc::clone(&checks),
             table,
+            offers,
             pool: UpstreamPool::new(Arc::clone(&metrics)),
             memory: Arc::new(Semaphore::new(settings.call_memory() / MEMORY_UNIT)),
             calls: CallCounter::new(1),
@@ -151,7 +157,11 @@
             drain: OnceLock::new(),
             answers_due: StopSignal::new(),
             overloaded: watch::Sender::new(false),
-            admission: CallAdmission::new(settings.processor_share, Instant::now()),
+            admission: CallAdmission::new(
+                settings.processor_share,
+                Arc::clone(&settings.data_centre),
+                Instant::now(),
+            ),
             metrics: Arc::clone(&metrics),
         });
         let control_context = ControlContext {
@@ -161,6 +171,7 @@
             outbox,
             checks,
             table: Arc::new(table_sender),
+            offers: Arc::new(offer_sender),
             metrics,
         };
         Ok(Self { context, sockets, control_context, receivers, starting, ready })
@@ -214,7 +225,12 @@
             }))
             .child(
                 child(&context, "callers", move |context, stop| {
-                    caller::serve(context, Arc::clone(&sockets.caller), Arc::clone(&starting), stop)
+                    caller::serve(
+                        context,
+                        Arc::clone(&sockets.callers),
+                        Arc::clone(&starting),
+                        stop,
+                    )
                 })
                 .stop_grace(stop_grace),
             )
@@ -228,14 +244,14 @@
                 .await
                 .wrap_err_with(|| format!("cannot listen on {address}"))
         };
-        let caller = TcpListener::bind(settings.caller)
+        let callers = CallerListeners::bind(settings.caller, settings.handoff)
             .await
-            .wrap_err_with(|| format!("cannot listen on {}", settings.caller))?;
+            .wrap_err("cannot listen for callers")?;
         let reports = UdpSocket::bind(settings.peer)
             .await
             .wrap_err_with(|| format!("cannot bind {} for reports", settings.peer))?;
         Ok(Self {
-            caller: Arc::new(caller),
+            callers: Arc::new(callers),
             ready: ListenerSlot::from(listen(settings.ready).await?),
             peer: ListenerSlot::from(listen(settings.peer).await?),
             reports: Arc::new(reports),
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -4,6 +4,7 @@
 //! not ready to the balancer and closes callers' connections after each answer, so that other
 //! routers take over.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,8 @@
 use super::adapter::{CallMetadata, GatewayAdapter};
 use super::events::ControlEvent;
 use super::load_log::{LoadCounts, LoadLog};
-use crate::decision::direct::{OverloadControl, ShedCall};
+use crate::decision::direct::{ConnectionAdmission, HandoffTargets, OverloadControl, ShedCall};
+use crate::ids::DataCentreId;
 use crate::supervisor::StopSignal;
 
 /// Time between two samples.
@@ -22,15 +24,17 @@
 pub(super) struct CallAdmission {
     control: Mutex<OverloadControl>,
     shed: Mutex<Vec<ShedCall>>,
+    targets: Mutex<HandoffTargets>,
     counts: LoadCounts,
 }
 
 impl CallAdmission {
     /// Creates the admission of a router with a fraction of a processor core.
-    pub(super) fn new(processor_share: f64, now: Instant) -> Self {
+    pub(super) fn new(processor_share: f64, data_centre: DataCentreId, now: Instant) -> Self {
         Self {
             control: Mutex::new(OverloadControl::new(processor_share, now)),
             shed: Mutex::default(),
+            targets: Mutex::new(HandoffTargets::new(data_centre)),
             counts: LoadCounts::default(),
         }
     }
@@ -60,6 +64,28 @@
         is_admitted
     }
 
+    /// Decides about a new connection.
+    pub(super) fn try_admit_connection(&self, now: Instant) -> ConnectionAdmission {
+        self.control().try_admit_connection(now)
+    }
+
+    /// Returns a router that takes a connection over, and counts it as handed over.
+    pub(super) fn take_target(&self) -> Option<SocketAddr> {
+        let target = self.targets().take()?;
+        self.control().record_handoff();
+        Some(target)
+    }
+
+    /// Returns whether new connections are handed over to other routers.
+    pub(super) fn hands_over(&self) -> bool {
+        self.control().is_limiting() && self.targets().is_available()
+    }
+
+    /// Returns the routers that take connections over.
+    pub(super) fn targets(&self) -> MutexGuard<'_, HandoffTargets> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the counts of calls and connections.
     pub(super) fn counts(&self) -> &LoadCounts {
         &self.counts
@@ -90,7 +116,9 @@
         }
         let now = Instant::now();
         let lateness = now.duration_since(due);
-        let change = record_sample(&context, lateness, now.duration_since(last), now);
+        let interval = now.duration_since(last);
+        let change = record_sample(&context, lateness, interval, now);
+        exchange_offers(&context, interval, now);
         load_log.update(&context, lateness, now);
         last = now;
         let shed = std::mem::take(&mut *context.admission.shed());
@@ -103,6 +131,18 @@
     }
 }
 
+/// Takes the offers of other routers from the control thread, and tells it what this one can offer.
+fn exchange_offers<A: GatewayAdapter>(
+    context: &GatewayContext<A>,
+    interval: Duration,
+    now: Instant,
+) {
+    let offers = context.offers.borrow().clone();
+    context.admission.targets().update(&offers, interval, now);
+    let spare_rate = context.admission.control().spare_rate();
+    context.send_event(ControlEvent::SpareRate(spare_rate));
+}
+
 /// Records a sample and logs when the overload begins or ends.
 fn record_sample<A: GatewayAdapter>(
     context: &GatewayContext<A>,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -39,7 +39,7 @@
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, sender)) => match decode_message::<PeerReport>(&buffer[..length]) {
-                    Ok(report) => context.send_event(ControlEvent::Report(report)),
+                    Ok(report) => context.send_event(ControlEvent::Report(Box::new(report))),
                     Err(error) => log::warn!(sender:% = sender; "malformed report: {error}"),
                 },
                 Err(error) => log::debug!("cannot receive reports: {error}"),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -39,6 +39,8 @@
     pub ready: SocketAddr,
     /// Address for reports (UDP), and for requests between routers and metrics (TCP).
     pub peer: SocketAddr,
+    /// Address that takes over connections of other routers' callers; `None` when it takes none.
+    pub handoff: Option<SocketAddr>,
     /// Fraction of a processor core that the process may use.
     pub processor_share: f64,
     /// Memory of the process, in bytes.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,6 +1,7 @@
 //! Lookup of routes by host and longest prefix, and of teams by key.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -42,6 +43,8 @@
     hosts: IndexMap<String, IndexMap<String, Arc<RouteEntry>>>,
     keys: IndexMap<String, Arc<TeamEntry>>,
     has_teams: bool,
+    has_homes: bool,
+    max_timeout: Duration,
 }
 
 impl From<&RouteConfiguration> for RouteTable {
@@ -61,12 +64,17 @@
             }
         }
         let has_teams = !configuration.teams.is_empty();
+        let has_homes = configuration.routes.iter().any(|route| !route.homes.is_empty())
+            || configuration.teams.iter().any(|team| !team.homes.is_empty());
+        let timeouts = configuration.routes.iter().map(|route| route.timeout);
         Self {
             version: configuration.version,
             limits: configuration.limits,
             hosts,
             keys,
             has_teams,
+            has_homes,
+            max_timeout: timeouts.max().unwrap_or_default(),
         }
     }
 }
@@ -82,6 +90,16 @@
         self.limits
     }
 
+    /// Returns whether any route or team is bound to regions.
+    pub fn has_homes(&self) -> bool {
+        self.has_homes
+    }
+
+    /// Returns the longest timeout of a route.
+    pub fn max_timeout(&self) -> Duration {
+        self.max_timeout
+    }
+
     /// Looks up the route of a call and the team of its caller.
     pub fn find(&self, host: &str, path: &str, key: Option<&TeamKey>) -> RouteMatch {
         let Some(route) = self.find_route(host, path) else {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod fair_queue;
 mod fair_share;
 mod guide;
+mod handoff;
 mod isolation;
 mod lease;
 mod margin_report;
--- a/tests/testsuite/support/fleet_plan.rs
+++ b/tests/testsuite/support/fleet_plan.rs
@@ -44,6 +44,10 @@
     pub refusal: Duration,
     /// A call that is refused for overload.
     pub shed: Duration,
+    /// A connection that is handed over, until the other router has the call.
+    pub handoff: Duration,
+    /// Each write of an answer that is relayed.
+    pub relayed_write: Duration,
     /// Fraction of a core that is used without calls.
     pub fixed: f64,
 }
@@ -56,6 +60,8 @@
         write: Duration::from_micros(16),
         refusal: Duration::ZERO,
         shed: Duration::from_micros(50),
+        handoff: Duration::from_micros(60),
+        relayed_write: Duration::from_micros(10),
         fixed: 0.0,
     };
 
@@ -66,6 +72,8 @@
         write: Duration::from_micros(16),
         refusal: Duration::from_micros(15),
         shed: Duration::from_micros(30),
+        handoff: Duration::from_micros(60),
+        relayed_write: Duration::from_micros(10),
         fixed: 0.027,
     };
 }
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -3,15 +3,16 @@
 //! Time is simulated. A router's processor works on its calls one after another, an engine reads
 //! prompts one after another, and routers exchange reports every 100 ms. All callers of a team with
 //! a home router meet this router while it is in the balancer's rotation, else the next one; all
-//! other callers meet any router. A refused caller tries once more after the stated delay.
+//! other callers meet any router. Each call comes on a new connection. A refused caller tries once
+//! more after the stated delay.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    BudgetCharge, CallDecision, CallOutcome, DirectDispatcher, OverloadControl, PeerReport,
-    PendingCall, PromptPart, PromptShape, call_work,
+    BudgetCharge, CallDecision, CallOutcome, ConnectionAdmission, DirectDispatcher, HandoffOffer,
+    HandoffTargets, OverloadControl, PeerReport, PendingCall, PromptPart, PromptShape, call_work,
 };
 use godwitcrank::ids::{CallId, GrantId, TeamId};
 use indexmap::{IndexMap, IndexSet};
@@ -30,6 +31,9 @@
 const LONG_ANSWER_WRITES: u32 = 40;
 const WRITE_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Time after which a caller sends a call again whose connection was closed unread.
+const CLOSED_CONNECTION_DELAY: Duration = Duration::from_millis(2);
+
 /// Time after which the balancer stops sending callers to a router that is not ready.
 const ROTATION_DELAY: Duration = Duration::from_millis(1500);
 
@@ -66,6 +70,7 @@
     processor_share: f64,
     dispatcher: DirectDispatcher,
     control: OverloadControl,
+    targets: HandoffTargets,
     busy_until: Instant,
     overloaded_since: Option<Instant>,
     sequence: u64,
@@ -82,17 +87,21 @@
     team: usize,
     prompt: PromptShape,
     retries_left: u32,
+    /// Router that relays the call, if its connection was handed over.
+    relayed_by: Option<usize>,
 }
 
 #[derive(Debug)]
 enum FleetEvent {
     Clump { team: usize },
     Arrival { router: usize, call: SimulatedCall },
+    HandedOver { router: usize, call: SimulatedCall },
     Retry { call: SimulatedCall },
     Admitted { router: usize, call: SimulatedCall, arrived: Instant },
     FirstEvent { router: usize, grant: GrantId, sent_at: Instant, writes: u32 },
     FirstEventRead { router: usize, grant: GrantId, sent_at: Instant },
     Write { router: usize, grant: GrantId, left: u32 },
+    Relayed { router: usize, writes: u32 },
     End { router: usize, grant: GrantId },
     Tick,
     DeadlineTick,
@@ -146,6 +155,7 @@
                 processor_share: plan.routers[index] - plan.costs.fixed,
                 dispatcher: dispatcher(index, &plan, start),
                 control: OverloadControl::new(plan.routers[index], start),
+                targets: HandoffTargets::new("caerdydd".into()),
                 busy_until: start,
                 overloaded_since: None,
                 sequence: 0,
@@ -190,10 +200,11 @@
     fn handle(&mut self, event: FleetEvent) {
         match event {
             FleetEvent::Clump { team } => self.send_clump(team),
-            FleetEvent::Arrival { router, call } => self.admit(router, call),
+            FleetEvent::Arrival { router, call } => self.accept(router, call),
+            FleetEvent::HandedOver { router, call } => self.admit(router, call),
             FleetEvent::Retry { call } => {
                 let router = self.meet_router(call.team);
-                self.admit(router, call);
+                self.accept(router, call);
             }
             FleetEvent::Admitted { router, call, arrived } => self.enqueue(router, call, arrived),
             FleetEvent::FirstEvent { router, grant, sent_at, writes } => {
@@ -206,6 +217,9 @@
                 }
             }
             FleetEvent::Write { router, grant, left } => self.write(router, grant, left),
+            FleetEvent::Relayed { router, writes } => {
+                self.process(router, self.plan.costs.relayed_write * writes);
+            }
             FleetEvent::FirstEventRead { router, grant, sent_at } => {
                 let waited = self.now - sent_at;
                 let state = &mut self.routers[router];
@@ -235,7 +249,7 @@
             let name = &self.plan.teams[team].name;
             self.records[name].asked[second] += call_work(Some(&prompt));
             let router = self.meet_router(team);
-            let call = SimulatedCall { team, prompt, retries_left: 1 };
+            let call = SimulatedCall { team, prompt, retries_left: 1, relayed_by: None };
             self.schedule(Duration::ZERO, FleetEvent::Arrival { router, call });
         }
         self.schedule_clump(team);
@@ -297,23 +311,53 @@
         router.busy_until - self.now
     }
 
+    /// Accepts the connection of a call, hands it over to another router, or closes it unread.
+    fn accept(&mut self, router: usize, call: SimulatedCall) {
+        let state = &mut self.routers[router];
+        match state.control.try_admit_connection(self.now) {
+            ConnectionAdmission::Unlimited => self.admit(router, call),
+            ConnectionAdmission::Charged => {
+                let cost = state.control.cost_of(Some(&call.prompt));
+                state.control.admit_charged(cost);
+                self.read_call(router, call);
+            }
+            ConnectionAdmission::Refused => match state.targets.take() {
+                Some(target) => self.hand_over(router, target.port().into(), call),
+                None => self.retry(call, CLOSED_CONNECTION_DELAY),
+            },
+        }
+    }
+
+    fn hand_over(&mut self, router: usize, target: usize, mut call: SimulatedCall) {
+        self.routers[router].control.record_handoff();
+        let delay = self.process(router, self.plan.costs.handoff);
+        call.relayed_by = Some(router);
+        self.schedule(delay, FleetEvent::HandedOver { router: target, call });
+    }
+
     /// Takes a call into the queue of a router's processor, or refuses it.
     fn admit(&mut self, router: usize, call: SimulatedCall) {
         let now = self.now;
         let control = &mut self.routers[router].control;
         let cost = control.cost_of(Some(&call.prompt));
         if control.try_admit(cost, now) {
-            let delay = self.process(router, self.plan.costs.call);
-            self.schedule(delay, FleetEvent::Admitted { router, call, arrived: now });
+            self.read_call(router, call);
         } else {
             let delay = self.process(router, self.plan.costs.shed);
             self.retry(call, delay);
         }
     }
 
+    fn read_call(&mut self, router: usize, call: SimulatedCall) {
+        let arrived = self.now;
+        let delay = self.process(router, self.plan.costs.call);
+        self.schedule(delay, FleetEvent::Admitted { router, call, arrived });
+    }
+
     fn retry(&mut self, mut call: SimulatedCall, delay: Duration) {
         if call.retries_left > 0 {
             call.retries_left -= 1;
+            call.relayed_by = None;
             self.schedule(delay, FleetEvent::Retry { call });
         }
     }
@@ -367,6 +411,9 @@
         let has_long_answer = call.prompt.tokens_out == LONG_ANSWER_OUTPUT_TOKENS;
         let writes = if has_long_answer { LONG_ANSWER_WRITES } else { 1 };
         self.schedule(delay, FleetEvent::FirstEvent { router, grant, sent_at, writes });
+        if let Some(router) = call.relayed_by {
+            self.schedule(delay, FleetEvent::Relayed { router, writes });
+        }
     }
 
     /// Samples the load of all routers and exchanges their reports.
@@ -389,9 +436,30 @@
         for router in &mut self.routers {
             router.dispatcher.refresh_from_peers(now);
         }
+        self.exchange_offers();
         self.schedule(TICK, FleetEvent::Tick);
     }
 
+    /// Tells each router what the others would serve for its callers. The port of an address is the
+    /// index of its router.
+    fn exchange_offers(&mut self) {
+        let offers: Vec<HandoffOffer> = self
+            .routers
+            .iter()
+            .zip(0..)
+            .map(|(router, index)| HandoffOffer {
+                address: ([127, 0, 0, 1], index).into(),
+                data_centre: "caerdydd".into(),
+                spare_rate: router.control.spare_rate(),
+            })
+            .collect();
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let mut others = offers.clone();
+            others.remove(index);
+            router.targets.update(&others, TICK, self.now);
+        }
+    }
+
     fn report(&mut self, sender: usize) -> PeerReport {
         let router = &mut self.routers[sender];
         router.sequence += 1;
