--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -96,10 +96,10 @@
             Ok((stream, address, origin)) => match choose_treatment(context, origin) {
                 ConnectionTreatment::Serve { is_charged } => {
                     let connection = CallerConnection { stream, origin, is_charged };
-                    serve(context, connection, closing);
+                    spawn_serving(context, connection, closing);
                 }
-                ConnectionTreatment::HandOver => hand_over_to_router(context, stream, closing),
-                ConnectionTreatment::Close(reason) => close(context, address, reason),
+                ConnectionTreatment::HandOver => spawn_handoff(context, stream, closing),
+                ConnectionTreatment::Close(reason) => close_unread(context, address, reason),
             },
             Err(error) => {
                 // File descriptors may be used up for a moment; they are released as connections
@@ -130,7 +130,7 @@
     }
 }
 
-fn serve<A: GatewayAdapter>(
+fn spawn_serving<A: GatewayAdapter>(
     context: &Arc<GatewayContext<A>>,
     connection: CallerConnection,
     closing: &StopSignal,
@@ -145,7 +145,7 @@
     });
 }
 
-fn hand_over_to_router<A: GatewayAdapter>(
+fn spawn_handoff<A: GatewayAdapter>(
     context: &Arc<GatewayContext<A>>,
     stream: TcpStream,
     closing: &StopSignal,
@@ -160,7 +160,7 @@
 }
 
 /// Closes a connection without a response, which allows the caller to try another router.
-fn close<A: GatewayAdapter>(context: &GatewayContext<A>, caller: SocketAddr, reason: &str) {
+fn close_unread<A: GatewayAdapter>(context: &GatewayContext<A>, caller: SocketAddr, reason: &str) {
     context.admission.counts().count_connection(false);
     log::info!(caller:% = caller; "connection closed: {reason}");
     context.metrics.count_call(format!("connection closed: {reason}"));
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -24,6 +24,9 @@
 const CALL_BUFFER_BYTES: usize = 16 << 10;
 const ANSWER_BUFFER_BYTES: usize = 4 << 10;
 
+/// Outcome of a connection that no router took over, in the metrics.
+const NOT_HANDED_OVER: &str = "connection closed: not handed over";
+
 /// Answer to a call that the other router has not begun to answer in time. It may have run.
 const TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -48,10 +51,14 @@
         has_call = wait_for_call(&caller, context.limits().idle_time) => has_call,
         () = closing.cancelled() => false,
     };
-    if !has_call || !may_hand_over(&context) {
+    if !has_call {
         return;
     }
-    let Some(target) = context.admission.take_target() else { return };
+    let target = if may_hand_over(&context) { context.admission.take_target() } else { None };
+    let Some(target) = target else {
+        context.metrics.count_call(NOT_HANDED_OVER);
+        return;
+    };
     match connect(target).await {
         Ok(router) => {
             // The caller's connection is counted already.
@@ -63,7 +70,7 @@
         }
         Err(error) => {
             context.admission.targets().record_unreachable(target, Instant::now());
-            context.metrics.count_call("connection closed: not handed over");
+            context.metrics.count_call(NOT_HANDED_OVER);
             log::info!(router:% = target; "connection closed: cannot hand it over: {error}");
         }
     }
