--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,8 @@
 //! Its supervisor starts, in this order: the control thread, the followers of the source, the
 //! membership task, the writer of move records, the fetcher of views, the report exchange and the
 //! server for other routers, the maintenance of the connection pool, the overload detector, the
-//! readiness endpoint and the callers' server. The `adapter` module is the interface to the
-//! platform.
+//! readiness endpoint and the callers' server, which also serves connections that other routers hand
+//! over. The `adapter` module is the interface to the platform.
 
 mod accept;
 mod adapter;
