Weigh the load that upstreams state against the peers' reports

Nothing read the load that some upstreams state in their answers (running, waiting, slots), so a router knew the calls of the others only by reports of 100 ms and more. The adapter translates the statement; UpstreamLoad::running is now one estimate of two sources, each weighted by the inverse of its age. It counts own calls exactly and takes only the rest from a statement. A statement is ignored if it is malformed, says more calls run than there are slots, is older than the last one or than 1.5 s, or is of an earlier start of the upstream; the first unusable value of each header is logged.

PrefixCache and ColdLimiter move from load.rs into files of their own.

Tests: stated_load::*, decoding::read_answer_load.

--- a/src/decision/direct/call_progress.rs
+++ b/src/decision/direct/call_progress.rs
@@ -6,6 +6,7 @@
 use super::call::CallOutcome;
 use super::dispatcher::{DirectDispatcher, GrantedCall};
 use super::part_suspects::BrokenCall;
+use super::stated_load::ReceivedLoad;
 use super::upstream_notices::{NoticedUpstream, UpstreamNotice};
 use super::waiting::ChangedUpstreams;
 use crate::decision::quarantine::crash_id;
@@ -32,6 +33,16 @@
         })
     }
 
+    /// Records the load that an upstream stated in the head of a call's answer.
+    pub fn record_stated_load(&mut self, grant: GrantId, received: ReceivedLoad) {
+        let Some(call) = self.grants.get(&grant) else { return };
+        if let Some(load) = self.upstreams.get_mut(&call.upstream)
+            && load.entry.started == call.started
+        {
+            load.stated.record(received, load.own.running);
+        }
+    }
+
     /// Records the first event of a call's answer, `waited` after the call was sent. The event was
     /// read about `own_delay` after it arrived at the router.
     pub fn record_first_event(
--- a/src/decision/direct/capacity.rs
+++ b/src/decision/direct/capacity.rs
@@ -168,17 +168,17 @@
     match (&call.prompt, service.memory_tokens) {
         (Some(prompt), Some(memory)) => {
             let slots = f64::from(load.entry.slots) * USABLE_SLOTS;
-            f64::from(load.running()) < slots
-                && fits_memory(load, prompt, memory)
+            f64::from(load.running(now)) < slots
+                && fits_memory(load, prompt, memory, now)
                 && starts_in_time(load, call, prompt, needs, now)
         }
-        _ => plain_has_capacity(load, routers),
+        _ => plain_has_capacity(load, routers, now),
     }
 }
 
-fn fits_memory(load: &UpstreamLoad, prompt: &PromptShape, memory: u64) -> bool {
+fn fits_memory(load: &UpstreamLoad, prompt: &PromptShape, memory: u64, now: Instant) -> bool {
     let held = load.held_tokens() + u64::from(prompt.tokens_in) + u64::from(prompt.tokens_out);
-    held as f64 <= memory as f64 * USABLE_MEMORY || load.running() == 0
+    held as f64 <= memory as f64 * USABLE_MEMORY || load.running(now) == 0
 }
 
 fn starts_in_time(
@@ -204,9 +204,9 @@
 
 /// Applies the router's fixed share, which it may exceed while the reports show free slots, since
 /// load is uneven between routers.
-fn plain_has_capacity(load: &UpstreamLoad, routers: u32) -> bool {
+fn plain_has_capacity(load: &UpstreamLoad, routers: u32, now: Instant) -> bool {
     let slots = f64::from(load.entry.slots);
-    let running = f64::from(load.running());
+    let running = f64::from(load.running(now));
     let share = (slots * PLAIN_SHARED_CALLS_PER_SLOT / f64::from(routers.max(1))).max(1.0);
     let within_share = f64::from(load.own.running) < share.floor();
     running < slots * PLAIN_FREE_CALLS_PER_SLOT
@@ -214,11 +214,16 @@
 }
 
 /// Returns the cost of sending a call to an upstream, in seconds; the lowest is chosen.
-pub(super) fn send_cost(load: &UpstreamLoad, uncached: u64, own_data_centre: &DataCentreId) -> f64 {
+pub(super) fn send_cost(
+    load: &UpstreamLoad,
+    uncached: u64,
+    own_data_centre: &DataCentreId,
+    now: Instant,
+) -> f64 {
     let cost = load.expected_wait(uncached).as_secs_f64()
         + CACHE_MISS_WEIGHT * load.read_time(uncached).as_secs_f64()
         + FAILURE_PENALTY.as_secs_f64() * load.failure_share()
-        + LOAD_PENALTY.as_secs_f64() * f64::from(load.running())
+        + LOAD_PENALTY.as_secs_f64() * f64::from(load.running(now))
             / f64::from(load.entry.slots.max(1));
     if load.entry.data_centre == *own_data_centre {
         cost
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -189,8 +189,10 @@
     /// parts.
     pub fn refresh_from_peers(&mut self, now: Instant) -> Vec<PartVerdict> {
         let sums = self.peers.total_loads(now);
+        let received_at = self.peers.mean_load_time(now);
         for (id, load) in &mut self.upstreams {
             load.peers = sums.get(id).copied().unwrap_or_default();
+            load.peers_at = received_at;
         }
         self.demand.refresh(&self.peers, now);
         self.estimate_unread(now);
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -82,6 +82,7 @@
             .or_insert_with(|| UpstreamLoad::new(id, entry.clone()));
         if entry.started != load.entry.started {
             load.cache.clear();
+            load.stated.clear();
             load.cold.mark_cold_until(now + cold_period.max(entry.cold_left));
         }
         if !entry.cold_left.is_zero() {
--- a/src/decision/direct/load.rs
+++ b/src/decision/direct/load.rs
@@ -2,19 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::call::{CallOutcome, PromptShape};
+use super::call::CallOutcome;
+use super::cold_limiter::ColdLimiter;
 use super::peers::PeerLoad;
-use super::window::SlidingCounter;
+use super::prefix_cache::PrefixCache;
+use super::stated_load::StatedLoads;
 use crate::ids::{PromptPartId, UpstreamId};
 use crate::routing::UpstreamEntry;
 
-/// Window of the rate limit for a cold upstream. It is longer than the second that the limit is
-/// stated for, so that varying transit times don't move a call into the next second.
-const COLD_WINDOW: Duration = Duration::from_millis(1150);
-
 /// Prompt tokens that an engine reads per millisecond, before the rate is measured.
 const INITIAL_READ_RATE: f64 = 70.0;
 
@@ -49,84 +46,6 @@
 /// Weight of one answer in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
 
-/// Estimate of the shared prompt parts in an upstream's cache, with the least recently sent part
-/// evicted first.
-#[derive(Clone, Debug, Default)]
-pub struct PrefixCache {
-    parts: IndexMap<PromptPartId, u32>,
-    tokens: u64,
-}
-
-impl PrefixCache {
-    /// Records that the upstream reads a prompt, whose shared parts it caches.
-    pub fn record(&mut self, prompt: &PromptShape, capacity: u64) {
-        for part in prompt.shared_parts() {
-            if let Some(tokens) = self.parts.shift_remove(&part.id) {
-                self.tokens -= u64::from(tokens);
-            }
-            self.parts.insert(part.id, part.tokens);
-            self.tokens += u64::from(part.tokens);
-        }
-        while self.tokens > capacity {
-            let Some((_, tokens)) = self.parts.shift_remove_index(0) else { break };
-            self.tokens -= u64::from(tokens);
-        }
-    }
-
-    /// Returns the tokens of a prompt that the upstream has to read: all after the first uncached
-    /// part.
-    pub fn uncached_tokens(&self, prompt: &PromptShape) -> u64 {
-        let kept: u64 = prompt
-            .shared_parts()
-            .iter()
-            .take_while(|part| self.parts.contains_key(&part.id))
-            .map(|part| u64::from(part.tokens))
-            .sum();
-        u64::from(prompt.tokens_in).saturating_sub(kept)
-    }
-
-    /// Empties the cache, as a restart of the upstream does.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-        self.tokens = 0;
-    }
-}
-
-/// Rate limiter for the calls of one router to a cold upstream.
-#[derive(Clone, Debug)]
-pub struct ColdLimiter {
-    until: Option<Instant>,
-    sent: SlidingCounter,
-}
-
-impl Default for ColdLimiter {
-    fn default() -> Self {
-        Self { until: None, sent: SlidingCounter::new(COLD_WINDOW) }
-    }
-}
-
-impl ColdLimiter {
-    /// Marks the upstream as cold until `until`, or longer if it already is.
-    pub fn mark_cold_until(&mut self, until: Instant) {
-        self.until = Some(self.until.map_or(until, |current| current.max(until)));
-    }
-
-    /// Returns whether the upstream is cold.
-    pub fn is_cold(&self, now: Instant) -> bool {
-        self.until.is_some_and(|until| now < until)
-    }
-
-    /// Returns whether another call fits within `share` calls per window.
-    pub fn allows(&mut self, share: u32, now: Instant) -> bool {
-        !self.is_cold(now) || self.sent.count(now) < share as usize
-    }
-
-    /// Counts a call that was sent.
-    pub fn record(&mut self, now: Instant) {
-        self.sent.record(now);
-    }
-}
-
 /// One upstream as a router sees it.
 #[derive(Clone, Debug)]
 pub struct UpstreamLoad {
@@ -138,6 +57,10 @@
     pub unread_tokens: u64,
     /// Load from all other routers, as last reported.
     pub peers: PeerLoad,
+    /// Mean time at which the peers' reports were received.
+    pub peers_at: Option<Instant>,
+    /// Load that the upstream states itself.
+    pub stated: StatedLoads,
     /// Estimate of its prefix cache.
     pub cache: PrefixCache,
     /// Rate limiter while it is cold.
@@ -160,6 +83,8 @@
             own: PeerLoad::default(),
             unread_tokens: 0,
             peers: PeerLoad::default(),
+            peers_at: None,
+            stated: StatedLoads::default(),
             cache: PrefixCache::default(),
             cold: ColdLimiter::default(),
             expired_at: None,
@@ -177,8 +102,9 @@
     }
 
     /// Returns the calls in progress from all routers.
-    pub fn running(&self) -> u32 {
-        self.own.running + self.peers.running
+    pub fn running(&self, now: Instant) -> u32 {
+        let report_age = self.peers_at.map(|at| now.saturating_duration_since(at));
+        self.own.running + self.stated.combine(self.peers.running, report_age, now)
     }
 
     /// Returns the load from this router without the calls that probably no longer wait.
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -219,16 +219,27 @@
     /// Returns the sum of the peers' load at each upstream.
     pub fn total_loads(&self, now: Instant) -> IndexMap<UpstreamId, PeerLoad> {
         let mut sums: IndexMap<UpstreamId, PeerLoad> = IndexMap::new();
-        for peer in self.peers.values() {
-            if now.duration_since(peer.received_at) < LOAD_TTL {
-                for (upstream, load) in &peer.report.loads {
-                    *sums.entry(UpstreamId::clone(upstream)).or_default() += *load;
-                }
+        for peer in self.peers_with_load(now) {
+            for (upstream, load) in &peer.report.loads {
+                *sums.entry(UpstreamId::clone(upstream)).or_default() += *load;
             }
         }
         sums
     }
 
+    /// Returns the mean time at which the reports of these loads were received; `None` without
+    /// such reports.
+    pub fn mean_load_time(&self, now: Instant) -> Option<Instant> {
+        let ages = self.peers_with_load(now).map(|peer| now.duration_since(peer.received_at));
+        let (count, total) =
+            ages.fold((0, Duration::ZERO), |(count, total), age| (count + 1, total + age));
+        (count > 0).then(|| now.checked_sub(total / count)).flatten()
+    }
+
+    fn peers_with_load(&self, now: Instant) -> impl Iterator<Item = &KnownPeer> {
+        self.peers.values().filter(move |peer| now.duration_since(peer.received_at) < LOAD_TTL)
+    }
+
     /// Returns the sum of the peers' recent demand of each team.
     pub fn team_demands(&self, now: Instant) -> IndexMap<TeamId, TeamDemand> {
         let mut sums: IndexMap<TeamId, TeamDemand> = IndexMap::new();
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -136,7 +136,7 @@
             if !has_capacity(load, call, service, needs, routers, now) {
                 continue;
             }
-            let cost = send_cost(load, uncached, &self.data_centre);
+            let cost = send_cost(load, uncached, &self.data_centre, now);
             if best.is_none_or(|(lowest, _, _)| cost < lowest) {
                 best = Some((cost, index, uncached));
             }
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -11,7 +11,7 @@
 use derive_more::{Display, Error};
 use http::{HeaderMap, Response, StatusCode, request, response};
 
-use crate::decision::direct::{PromptShape, RefusalCause, TrialStage, UpstreamNotice};
+use crate::decision::direct::{PromptShape, RefusalCause, StatedLoad, TrialStage, UpstreamNotice};
 use crate::ids::{
     ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreRevision, UpstreamId, VersionId,
 };
@@ -166,6 +166,8 @@
     pub leaving: bool,
     /// Time for which the upstream wants no further calls of this router, if stated.
     pub pause: Option<Duration>,
+    /// Load that the upstream states.
+    pub load: Option<StatedLoad>,
 }
 
 impl AnswerMetadata {
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -341,7 +341,7 @@
         &mut self,
         call: SentCall,
         grant: CallGrant,
-        guard: GrantGuard,
+        mut guard: GrantGuard,
         lease: LeasedConnection,
         answer: Response<Incoming>,
     ) -> AttemptOutcome {
@@ -356,7 +356,7 @@
             return AttemptOutcome::Failed(call.executed(), None);
         }
         if self.is_certain_answer(&metadata, &lease) {
-            guard.record_notices(self.admitted.id, &metadata, head.status);
+            guard.record_statements(self.admitted.id, &metadata, head.status);
         }
         let is_stream = self.admitted.route.kind == CallKind::Stream;
         if is_stream && head.status.is_success() && metadata.signed {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -19,10 +19,10 @@
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, DirectDispatcher, HandoffOffer, PeerReport, StageChange, TrialStage,
-    ViewFreshness, trial_counts,
+    CallDecision, CallOutcome, DirectDispatcher, HandoffOffer, PeerReport, ReceivedLoad,
+    StageChange, TrialStage, ViewFreshness, trial_counts,
 };
-use crate::ids::{CallId, Incarnation, NodeId, StoreRevision};
+use crate::ids::{CallId, GrantId, Incarnation, NodeId, StoreRevision};
 use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
 use crate::supervisor::{ControlInbox, StopSignal};
 
@@ -152,7 +152,8 @@
                 self.replies.swap_remove(&id);
                 self.dispatcher.cancel(id, now);
             }
-            ControlEvent::FirstEvent { grant, waited, own_delay } => {
+            ControlEvent::FirstEvent { grant, waited, own_delay, stated } => {
+                self.record_stated_load(grant, stated);
                 self.dispatcher.record_first_event(grant, waited, own_delay, now);
             }
             ControlEvent::Notice { grant, call, notice, status } => {
@@ -161,7 +162,8 @@
                     log_notice(&noticed, notice, call, status);
                 }
             }
-            ControlEvent::Ended { grant, outcome, late } => {
+            ControlEvent::Ended { grant, outcome, late, stated } => {
+                self.record_stated_load(grant, stated);
                 if let Some(upstream) = self.dispatcher.record_end(grant, outcome, late, now) {
                     log::warn!(
                         upstream = &*upstream, outcome:% = outcome;
@@ -198,6 +200,12 @@
         }
     }
 
+    fn record_stated_load(&mut self, grant: GrantId, stated: Option<ReceivedLoad>) {
+        if let Some(received) = stated {
+            self.dispatcher.record_stated_load(grant, received);
+        }
+    }
+
     /// Records that a revision of a part was current, unless a newer one is known.
     fn confirm(&mut self, part: ViewPart, revision: StoreRevision, confirmed_at: Instant) {
         if revision >= self.view.revision(part) {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -11,7 +11,7 @@
 use super::observe::GatewayMetrics;
 use super::view_log::ViewOrigin;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, PeerReport, PendingCall, ShedCall, UpstreamNotice,
+    CallDecision, CallOutcome, PeerReport, PendingCall, ReceivedLoad, ShedCall, UpstreamNotice,
 };
 use crate::ids::{CallId, GrantId, StoreRevision};
 use crate::routing::{ViewBatch, ViewPart, ViewSnapshot};
@@ -36,6 +36,8 @@
         waited: Duration,
         /// Time for which the event probably lay at this router before it was read.
         own_delay: Duration,
+        /// Load that the upstream stated in the head of the answer.
+        stated: Option<ReceivedLoad>,
     },
     /// An upstream stated something about itself in the head of an answer.
     Notice {
@@ -56,6 +58,8 @@
         outcome: CallOutcome,
         /// Whether the answer missed its objective.
         late: bool,
+        /// Load that the upstream stated in the head of an answer without a first event.
+        stated: Option<ReceivedLoad>,
     },
     /// Calls that were refused because of overload.
     Shed(Vec<ShedCall>),
--- a/src/gateway/grant_guard.rs
+++ b/src/gateway/grant_guard.rs
@@ -9,7 +9,7 @@
 use super::adapter::{AnswerMetadata, GatewayAdapter};
 use super::events::{ControlEvent, ControlSender, send_event};
 use super::observe::GatewayMetrics;
-use crate::decision::direct::CallOutcome;
+use crate::decision::direct::{CallOutcome, ReceivedLoad};
 use crate::ids::{CallId, GrantId};
 
 /// A grant in use. Dropping it reports that the caller left.
@@ -22,6 +22,8 @@
     sent_at: Instant,
     first_event_seen: bool,
     late: bool,
+    /// Load that the upstream stated, until it is reported.
+    stated: Option<ReceivedLoad>,
     ended: bool,
 }
 
@@ -41,6 +43,7 @@
             sent_at: Instant::now(),
             first_event_seen: false,
             late: false,
+            stated: None,
             ended: false,
         }
     }
@@ -61,11 +64,14 @@
         self.first_event_seen = true;
         self.late = now > self.objective_deadline;
         let waited = now.duration_since(self.sent_at);
-        self.send_event(ControlEvent::FirstEvent { grant: self.grant, waited, own_delay });
+        let (grant, stated) = (self.grant, self.stated.take());
+        self.send_event(ControlEvent::FirstEvent { grant, waited, own_delay, stated });
     }
 
-    /// Reports what the upstream states about itself in the head of its answer to `call`.
-    pub fn record_notices(&self, call: CallId, answer: &AnswerMetadata, status: StatusCode) {
+    /// Reports what the upstream states about itself in the head of its answer to `call`. Its load
+    /// is reported with the next event.
+    pub fn record_statements(&mut self, call: CallId, answer: &AnswerMetadata, status: StatusCode) {
+        self.stated = answer.load.map(|load| ReceivedLoad { load, at: Instant::now() });
         for notice in answer.notices() {
             self.send_event(ControlEvent::Notice { grant: self.grant, call, notice, status });
         }
@@ -84,7 +90,8 @@
         } else {
             Instant::now() > self.objective_deadline
         };
-        self.send_event(ControlEvent::Ended { grant: self.grant, outcome, late });
+        let (grant, stated) = (self.grant, self.stated.take());
+        self.send_event(ControlEvent::Ended { grant, outcome, late, stated });
     }
 
     fn send_event(&self, event: ControlEvent) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod routing;
 mod settings;
 mod shutdown;
+mod stated_load;
 mod support;
 mod team_work;
 mod tls;
