State the size of a call in its last log line

Without it the logs don't tell which sizes are refused or miss their deadlines. tokens_out is the caller's limit; on the deployments at hand it is the same for all calls of a route.

--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -18,6 +18,8 @@
     attempt: String,
     route: RouteId,
     team: Option<TeamId>,
+    tokens_in: u32,
+    tokens_out: u32,
     arrived: Instant,
     metrics: Arc<GatewayMetrics>,
     upstream: Option<UpstreamId>,
@@ -31,11 +33,14 @@
 impl CallLog {
     /// Creates the log of a call.
     pub fn new(admitted: &AdmittedCall, metrics: Arc<GatewayMetrics>) -> Self {
+        let prompt = admitted.metadata.prompt.as_ref();
         Self {
             id: admitted.id,
             attempt: admitted.metadata.attempt.clone(),
             route: Arc::clone(&admitted.route.name),
             team: admitted.team.clone(),
+            tokens_in: prompt.map_or(0, |prompt| prompt.tokens_in),
+            tokens_out: prompt.map_or(0, |prompt| prompt.tokens_out),
             arrived: admitted.arrived,
             metrics,
             upstream: None,
@@ -105,6 +110,7 @@
         log::info!(
             id = self.id, attempt = self.attempt, route = &*self.route,
             team = self.team.as_deref().unwrap_or("-"),
+            tokens_in = self.tokens_in, tokens_out = self.tokens_out,
             upstream = self.upstream.as_deref().unwrap_or("-"), sends = self.sends,
             placement_ms = self.placement.as_millis() as u64,
             expected_ms = self.expected_wait.as_millis() as u64,
