Limit the calls at an engine by the pace of its streams

Cause: engines were filled to nine tenths of their slots whatever the pace.

Change: each router learns how many writes a long answer of each route has and the time between two writes, and uses fewer slots (0.9 to 0.4 of them) while the pace is lower than the long answers need.

--- a/src/decision/direct/call.rs
+++ b/src/decision/direct/call.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{
-    CallFingerprint, CallId, GrantId, PromptPartId, RegionId, ServiceId, TeamId, UpstreamId,
+    CallFingerprint, CallId, GrantId, PromptPartId, RegionId, RouteId, ServiceId, TeamId,
+    UpstreamId,
 };
 
 /// A segment of a prompt.
@@ -61,6 +62,8 @@
 pub struct PendingCall {
     /// Identifier of the call.
     pub id: CallId,
+    /// Route of the call.
+    pub route: RouteId,
     /// Service that runs the call.
     pub service: ServiceId,
     /// Team that the call is accounted to.
--- a/src/decision/direct/call_progress.rs
+++ b/src/decision/direct/call_progress.rs
@@ -7,6 +7,7 @@
 use super::dispatcher::{DirectDispatcher, GrantedCall};
 use super::part_suspects::BrokenCall;
 use super::stated_load::ReceivedLoad;
+use super::stream_pace::EndedStream;
 use super::upstream_notices::{NoticedUpstream, UpstreamNotice};
 use super::waiting::ChangedUpstreams;
 use crate::decision::quarantine::crash_id;
@@ -66,6 +67,24 @@
         }
     }
 
+    /// Records that a stream ended, after so many writes, and whether it was complete.
+    pub fn record_stream(&mut self, grant: GrantId, writes: u32, is_complete: bool, now: Instant) {
+        let Some(call) = self.grants.get(&grant) else { return };
+        let Some(load) = self.upstreams.get(&call.upstream) else { return };
+        if let (Some(service), Some(first_event_at)) =
+            (self.services.get_mut(&load.entry.service), call.first_event_at)
+        {
+            let stream = EndedStream {
+                route: Arc::clone(&call.route),
+                writes,
+                time: now.saturating_duration_since(first_event_at),
+                allowed_time: call.deadline.saturating_duration_since(first_event_at),
+                is_complete,
+            };
+            service.pace.record_stream(&stream, now);
+        }
+    }
+
     /// Records the end of a call; returns the upstream when it probably went down.
     pub fn record_end(
         &mut self,
--- a/src/decision/direct/capacity.rs
+++ b/src/decision/direct/capacity.rs
@@ -24,11 +24,13 @@
 const MIN_START_FRACTION: f64 = 0.27;
 const MIN_SPILL_START_FRACTION: f64 = 0.05;
 
+/// Fraction of the usable slots for a team whose usage is far above the fair level.
+const MIN_SLOT_FRACTION: f64 = 0.6;
+
 /// Fraction of the deadline that a call too large for its objective may take on an idle engine.
 const LARGE_CALL_FRACTION: f64 = 0.4;
 
-/// Fractions of an engine's slots, memory and connections that all routers use together.
-const USABLE_SLOTS: f64 = 0.9;
+/// Fractions of an engine's memory and connections that all routers use together.
 const USABLE_MEMORY: f64 = 0.85;
 const USABLE_CONNECTIONS: f64 = 0.8;
 
@@ -77,11 +79,13 @@
     pub cold_slack: f64,
 }
 
-/// Fractions of the objective within which a call's first event must be expected.
+/// Parts of an engine's capacity that the calls of a team may use: fractions of the objective within
+/// which the first event must be expected, and of the usable slots.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StartFractions {
+pub(super) struct TeamFractions {
     start: f64,
     spill: f64,
+    slots: f64,
 }
 
 /// Requirements of a call at one upstream.
@@ -91,20 +95,23 @@
     pub(super) uncached: u64,
     /// Rank of the upstream among those that the call prefers.
     pub(super) rank: Option<usize>,
-    /// Fractions of the objective for the call's team.
-    pub(super) fractions: StartFractions,
+    /// Fraction of the engine's slots that the calls of all teams may use.
+    pub(super) slot_fraction: f64,
+    /// Fractions for the call's team.
+    pub(super) fractions: TeamFractions,
     /// When the dispatcher received the call.
     pub(super) queued_at: Instant,
 }
 
 /// Returns the fractions for calls of a team: full up to the fair level, and lower the more its
 /// usage exceeds the level, so that of two teams above it the one with less usage gets more.
-pub(super) fn start_fractions(team_usage: f64, level: FairLevel) -> StartFractions {
+pub(super) fn team_fractions(team_usage: f64, level: FairLevel) -> TeamFractions {
     let fair_fraction = level.fair_fraction(team_usage);
     let between = |low: f64, high: f64| low + (high - low) * fair_fraction;
-    StartFractions {
+    TeamFractions {
         start: between(MIN_START_FRACTION, START_FRACTION),
         spill: between(MIN_SPILL_START_FRACTION, SPILL_START_FRACTION),
+        slots: between(MIN_SLOT_FRACTION, 1.0),
     }
 }
 
@@ -167,7 +174,7 @@
 ) -> bool {
     match (&call.prompt, service.memory_tokens) {
         (Some(prompt), Some(memory)) => {
-            let slots = f64::from(load.entry.slots) * USABLE_SLOTS;
+            let slots = f64::from(load.entry.slots) * needs.slot_fraction * needs.fractions.slots;
             f64::from(load.running(now)) < slots
                 && fits_memory(load, prompt, memory, now)
                 && starts_in_time(load, call, prompt, needs, now)
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -12,6 +12,7 @@
 use super::load::UpstreamLoad;
 use super::part_suspects::{PartSuspects, PartVerdict};
 use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
+use super::stream_pace::StreamPace;
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_usage::FairLevel;
 use super::team_work::TeamWork;
@@ -20,16 +21,17 @@
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
 use crate::ids::{
-    CallFingerprint, CallId, DataCentreId, GrantId, NodeId, PromptPartId, RegionId, ServiceId,
-    TeamId, UpstreamId,
+    CallFingerprint, CallId, DataCentreId, GrantId, NodeId, PromptPartId, RegionId, RouteId,
+    ServiceId, TeamId, UpstreamId,
 };
 use crate::routing::ServiceEntry;
 
-/// A service and its retry budget.
+/// A service, its retry budget, and the pace of its streams.
 #[derive(Debug)]
 pub(super) struct ServiceState {
     pub(super) entry: ServiceEntry,
     pub(super) retries: RetryBudget,
+    pub(super) pace: StreamPace,
 }
 
 /// A call in progress at an upstream.
@@ -46,6 +48,9 @@
     pub(super) queued_tokens: u64,
     pub(super) held_tokens: u64,
     pub(super) work: f64,
+    pub(super) route: RouteId,
+    /// When its caller stops waiting.
+    pub(super) deadline: Instant,
     /// When the first event is expected.
     pub(super) due_at: Instant,
     pub(super) first_event_at: Option<Instant>,
@@ -128,6 +133,11 @@
         rates.iter().sum::<f64>() / rates.len().max(1) as f64
     }
 
+    /// Returns the pace of each service's streams.
+    pub fn stream_paces(&self) -> impl Iterator<Item = (&ServiceId, &StreamPace)> {
+        self.services.iter().map(|(service, state)| (service, &state.pace))
+    }
+
     /// Returns the reports of the other routers.
     pub fn peers(&self) -> &PeerTable {
         &self.peers
@@ -194,6 +204,9 @@
             load.peers = sums.get(id).copied().unwrap_or_default();
             load.peers_at = received_at;
         }
+        for service in self.services.values_mut() {
+            service.pace.adjust(now);
+        }
         self.demand.refresh(&self.peers, now);
         self.estimate_unread(now);
         self.changed = ChangedUpstreams::All;
@@ -458,6 +471,8 @@
                 queued_tokens,
                 held_tokens,
                 work: call.work(),
+                route: Arc::clone(&call.route),
+                deadline: call.deadline,
                 due_at: now + expected_wait,
                 first_event_at: None,
                 is_unread: false,
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -7,6 +7,7 @@
 
 use super::dispatcher::{DirectDispatcher, ServiceState};
 use super::load::UpstreamLoad;
+use super::stream_pace::StreamPace;
 use super::version_trial::VersionTrial;
 use super::waiting::ChangedUpstreams;
 use super::window::RetryBudget;
@@ -25,11 +26,11 @@
             ViewChange::Configuration(configuration) => {
                 let mut services = IndexMap::new();
                 for entry in &configuration.services {
-                    let retries = self.services.swap_remove(&entry.name).map_or_else(
-                        || RetryBudget::new(self.bounds.retry_window),
-                        |state| state.retries,
+                    let (retries, pace) = self.services.swap_remove(&entry.name).map_or_else(
+                        || (RetryBudget::new(self.bounds.retry_window), StreamPace::default()),
+                        |state| (state.retries, state.pace),
                     );
-                    let state = ServiceState { entry: entry.clone(), retries };
+                    let state = ServiceState { entry: entry.clone(), retries, pace };
                     services.insert(Arc::clone(&entry.name), state);
                 }
                 self.services = services;
--- a/src/decision/direct/load.rs
+++ b/src/decision/direct/load.rs
@@ -8,7 +8,7 @@
 use super::cold_limiter::ColdLimiter;
 use super::peers::PeerLoad;
 use super::prefix_cache::PrefixCache;
-use super::stated_load::StatedLoads;
+use super::stated_load::LastStatement;
 use crate::ids::{PromptPartId, UpstreamId};
 use crate::routing::UpstreamEntry;
 
@@ -60,7 +60,7 @@
     /// Mean time at which the peers' reports were received.
     pub peers_at: Option<Instant>,
     /// Load that the upstream states itself.
-    pub stated: StatedLoads,
+    pub stated: LastStatement,
     /// Estimate of its prefix cache.
     pub cache: PrefixCache,
     /// Rate limiter while it is cold.
@@ -84,7 +84,7 @@
             unread_tokens: 0,
             peers: PeerLoad::default(),
             peers_at: None,
-            stated: StatedLoads::default(),
+            stated: LastStatement::default(),
             cache: PrefixCache::default(),
             cold: ColdLimiter::default(),
             expired_at: None,
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -7,7 +7,7 @@
 use super::candidates::CandidateSet;
 use super::capacity::{
     CallNeeds, cold_share, connection_share, expected_uncached, has_capacity, send_cost,
-    start_fractions,
+    team_fractions,
 };
 use super::dispatcher::DirectDispatcher;
 use super::load::UpstreamLoad;
@@ -113,11 +113,13 @@
         queued_at: Instant,
         now: Instant,
     ) -> Option<(UpstreamId, u64)> {
-        let service = &self.services.get(&call.service)?.entry;
+        let state = self.services.get(&call.service)?;
+        let service = &state.entry;
+        let slot_fraction = state.pace.slot_fraction();
         let routers = self.peers.router_count(now);
         let connections = connection_share(service, routers);
         let team_usage = self.fleet_usage(call.team.as_deref(), now);
-        let fractions = start_fractions(team_usage, self.demand.level());
+        let fractions = team_fractions(team_usage, self.demand.level());
         let mut best: Option<(f64, usize, u64)> = None;
         for index in candidates.indices() {
             let (id, load) = self.upstreams.get_index_mut(index)?;
@@ -132,7 +134,7 @@
             let rank = candidates.rank(index);
             let uncached =
                 call.prompt.as_ref().map_or(0, |prompt| expected_uncached(load, prompt, rank));
-            let needs = CallNeeds { uncached, rank, fractions, queued_at };
+            let needs = CallNeeds { uncached, rank, slot_fraction, fractions, queued_at };
             if !has_capacity(load, call, service, needs, routers, now) {
                 continue;
             }
--- a/src/decision/direct/stated_load.rs
+++ b/src/decision/direct/stated_load.rs
@@ -89,10 +89,10 @@
     pub at: Instant,
 }
 
-/// Calls of the other routers at one upstream, by its last statement.
+/// Last statement of one upstream, as the number of calls from the other routers.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct StatedLoads {
-    last: Option<OtherCalls>,
+pub struct LastStatement {
+    others: Option<OtherCalls>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -101,20 +101,20 @@
     at: Instant,
 }
 
-impl StatedLoads {
+impl LastStatement {
     /// Records a statement, of which this router's own calls are a part. One that is older than the
     /// last one is ignored.
     pub fn record(&mut self, received: ReceivedLoad, own: u32) {
-        if self.last.is_some_and(|last| last.at > received.at) {
+        if self.others.is_some_and(|last| last.at > received.at) {
             return;
         }
         let count = received.load.total().saturating_sub(own);
-        self.last = Some(OtherCalls { count, at: received.at });
+        self.others = Some(OtherCalls { count, at: received.at });
     }
 
     /// Forgets the statements, since the upstream has restarted.
     pub fn clear(&mut self) {
-        self.last = None;
+        self.others = None;
     }
 
     /// Returns the calls of the other routers: the mean of what they reported and of what the
@@ -122,7 +122,7 @@
     ///
     /// `report_age` is the mean age of the reports; `None` when there are none.
     pub fn combine(&self, reported: u32, report_age: Option<Duration>, now: Instant) -> u32 {
-        let Some(last) = self.last else { return reported };
+        let Some(last) = self.others else { return reported };
         let age = now.saturating_duration_since(last.at);
         if age >= STATEMENT_TTL {
             return reported;
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -234,6 +234,7 @@
         let admitted = &self.admitted;
         PendingCall {
             id: admitted.id,
+            route: Arc::clone(&admitted.route.name),
             service: Arc::clone(&admitted.service),
             team: admitted.team.clone(),
             priority: admitted.priority,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -162,8 +162,12 @@
                     log_notice(&noticed, notice, call, status);
                 }
             }
-            ControlEvent::Ended { grant, outcome, late, stated } => {
+            ControlEvent::Ended { grant, outcome, late, writes, stated } => {
                 self.record_stated_load(grant, stated);
+                if matches!(outcome, CallOutcome::Completed | CallOutcome::Abandoned) {
+                    let is_complete = outcome == CallOutcome::Completed;
+                    self.dispatcher.record_stream(grant, writes, is_complete, now);
+                }
                 if let Some(upstream) = self.dispatcher.record_end(grant, outcome, late, now) {
                     log::warn!(
                         upstream = &*upstream, outcome:% = outcome;
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -58,6 +58,8 @@
         outcome: CallOutcome,
         /// Whether the answer missed its objective.
         late: bool,
+        /// Writes of its stream.
+        writes: u32,
         /// Load that the upstream stated in the head of an answer without a first event.
         stated: Option<ReceivedLoad>,
     },
--- a/src/gateway/grant_guard.rs
+++ b/src/gateway/grant_guard.rs
@@ -21,6 +21,7 @@
     objective_deadline: Instant,
     sent_at: Instant,
     first_event_seen: bool,
+    writes: u32,
     late: bool,
     /// Load that the upstream stated, until it is reported.
     stated: Option<ReceivedLoad>,
@@ -42,6 +43,7 @@
             objective_deadline: arrived + objective,
             sent_at: Instant::now(),
             first_event_seen: false,
+            writes: 0,
             late: false,
             stated: None,
             ended: false,
@@ -58,6 +60,11 @@
         self.first_event_seen
     }
 
+    /// Counts a write of the stream.
+    pub fn record_write(&mut self) {
+        self.writes += 1;
+    }
+
     /// Reports the first event, which lay at this router for about `own_delay`.
     pub fn record_first_event(&mut self, own_delay: Duration) {
         let now = Instant::now();
@@ -90,8 +97,8 @@
         } else {
             Instant::now() > self.objective_deadline
         };
-        let (grant, stated) = (self.grant, self.stated.take());
-        self.send_event(ControlEvent::Ended { grant, outcome, late, stated });
+        let (grant, writes, stated) = (self.grant, self.writes, self.stated.take());
+        self.send_event(ControlEvent::Ended { grant, outcome, late, writes, stated });
     }
 
     fn send_event(&self, event: ControlEvent) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -145,9 +145,9 @@
 
     fn record_events(&mut self) {
         self.writes += 1;
-        if let Some(stream) = &mut self.stream
-            && !stream.guard.first_event_seen()
-        {
+        let Some(stream) = &mut self.stream else { return };
+        stream.guard.record_write();
+        if !stream.guard.first_event_seen() {
             let lateness = self.run.context().admission.control().detector().lateness();
             stream.guard.record_first_event(lateness * QUEUE_TURNS);
         }
--- a/src/gateway/work_log.rs
+++ b/src/gateway/work_log.rs
@@ -41,6 +41,7 @@
             self.totals.add(team, *count);
         }
         self.log_totals(dispatcher.work_mut().largest(), metrics, settings);
+        log_paces(dispatcher);
         counts.retain(|_, count| count.turned_away() > 0.0);
         counts.sort_by(|_, left, _, right| right.turned_away().total_cmp(&left.turned_away()));
         let level = dispatcher.fair_level();
@@ -69,3 +70,18 @@
         );
     }
 }
+
+/// Logs the pace of each service's streams, and the fraction of the slots that follows from it.
+fn log_paces(dispatcher: &DirectDispatcher) {
+    let micros = |time: Duration| time.as_micros() as u64;
+    for (service, pace) in dispatcher.stream_paces() {
+        let (Some(write_time), Some(needed)) = (pace.write_time(), pace.needed_write_time()) else {
+            continue;
+        };
+        log::info!(
+            service = &**service, write_us = micros(write_time), needed_us = micros(needed),
+            slot_fraction = (pace.slot_fraction() * 100.0).round() / 100.0;
+            "pace of streams"
+        );
+    }
+}
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -81,6 +81,7 @@
 fn call(id: CallId, team: &str, prompt: PromptShape, now: Instant) -> PendingCall {
     PendingCall {
         id,
+        route: "route".into(),
         service: "model".into(),
         team: Some(team.into()),
         priority: 1,
--- a/tests/testsuite/stated_load.rs
+++ b/tests/testsuite/stated_load.rs
@@ -3,15 +3,17 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use godwitcrank::decision::direct::{
-    BudgetCharge, CallCounts, CallDecision, CallOutcome, DirectDispatcher, PeerLoad, PeerReport,
-    PendingCall, ReceivedLoad, StatedLoad, StatedLoads, StatementError,
+    CallCounts, CallDecision, CallOutcome, DirectDispatcher, LastStatement, PeerLoad, PeerReport,
+    ReceivedLoad, StatedLoad, StatementError,
 };
 use godwitcrank::ids::{CallId, UpstreamId};
 use godwitcrank::routing::{UpstreamEntry, ViewChange};
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
-use super::support::direct_path::{fleet_bounds, plain_configuration};
+use super::support::direct_path::{
+    fleet_bounds, pending_call, plain_configuration, upstream_entry,
+};
 
 /// Slots of each upstream in these tests.
 const SLOTS: u32 = 6;
@@ -21,19 +23,6 @@
     ReceivedLoad { load: counts.try_into().expect("the counts are usable"), at }
 }
 
-fn entry() -> UpstreamEntry {
-    UpstreamEntry {
-        service: "booking".into(),
-        address: ([127, 0, 0, 1], 9000).into(),
-        data_centre: "caerdydd".into(),
-        version: "v1".into(),
-        slots: SLOTS,
-        leaving: false,
-        cold_left: Duration::ZERO,
-        started: None,
-    }
-}
-
 /// Creates the dispatcher of one of many routers with two upstreams.
 fn fleet(now: Instant) -> DirectDispatcher {
     let mut dispatcher = DirectDispatcher::new(
@@ -44,32 +33,15 @@
     );
     dispatcher.apply(&plain_configuration("booking"), now);
     for id in ["a", "b"] {
-        dispatcher.apply(&ViewChange::Upstream(id.into(), entry()), now);
+        dispatcher.apply(&ViewChange::Upstream(id.into(), upstream_entry("booking", SLOTS)), now);
     }
     dispatcher.set_members(20);
     dispatcher
 }
 
-fn call(id: CallId, now: Instant) -> PendingCall {
-    PendingCall {
-        id,
-        service: "booking".into(),
-        team: None,
-        priority: 1,
-        homes: None,
-        prompt: None,
-        objective: Duration::from_millis(150),
-        arrived: now,
-        deadline: now + Duration::from_millis(1500),
-        fingerprint: id,
-        tried: Vec::new(),
-        charge: BudgetCharge::First,
-    }
-}
-
 /// Dispatches one call; returns its upstream and grant.
 fn send(dispatcher: &mut DirectDispatcher, id: CallId, now: Instant) -> Option<(UpstreamId, u64)> {
-    dispatcher.enqueue(call(id, now), now);
+    dispatcher.enqueue(pending_call(id, "booking", None, now), now);
     let decision = dispatcher.dispatch(now).pop();
     if decision.is_none() {
         dispatcher.cancel(id, now);
@@ -123,7 +95,7 @@
 #[gtest]
 fn combine_weighs_by_age() {
     let start = Instant::now();
-    let mut loads = StatedLoads::default();
+    let mut loads = LastStatement::default();
     loads.record(stated(6, 14, start), 0);
     let combined =
         |report_age, age| loads.combine(4, Some(Duration::from_millis(report_age)), start + age);
@@ -140,7 +112,7 @@
 fn record_own_calls_and_older_statements() {
     let start = Instant::now();
     let later = start + Duration::from_millis(50);
-    let mut loads = StatedLoads::default();
+    let mut loads = LastStatement::default();
     loads.record(stated(6, 1, later), 3);
     expect_that!(loads.combine(0, None, later), eq(4));
     loads.record(stated(1, 0, start), 0);
@@ -179,7 +151,8 @@
     let start = Instant::now();
     let mut dispatcher = fleet(start);
     let full = answer_with_load(&mut dispatcher, stated(SLOTS, 10, start));
-    let restarted = UpstreamEntry { started: Some(SystemTime::UNIX_EPOCH), ..entry() };
+    let restarted =
+        UpstreamEntry { started: Some(SystemTime::UNIX_EPOCH), ..upstream_entry("booking", SLOTS) };
     dispatcher.apply(&ViewChange::Upstream(full.clone(), restarted), start);
     let counts = send_in_turn(&mut dispatcher, 20, start + Duration::from_millis(2));
     expect_that!(counts.get(&full), some(ge(&5)));
--- a/tests/testsuite/support/direct_path.rs
+++ b/tests/testsuite/support/direct_path.rs
@@ -1,10 +1,13 @@
 //! Values that tests of the direct path share.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use godwitcrank::decision::direct::FleetBounds;
-use godwitcrank::routing::{CallerLimits, RouteConfiguration, ServiceEntry, ViewChange};
+use godwitcrank::decision::direct::{BudgetCharge, FleetBounds, PendingCall, PromptShape};
+use godwitcrank::ids::CallId;
+use godwitcrank::routing::{
+    CallerLimits, RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange,
+};
 
 /// Returns bounds of all routers together.
 pub fn fleet_bounds() -> FleetBounds {
@@ -29,12 +32,22 @@
 
 /// Returns a configuration with one service of plain upstreams that are never cold.
 pub fn plain_configuration(service: &str) -> ViewChange {
+    service_configuration(service, None, None)
+}
+
+/// Returns a configuration with one service whose upstreams are never cold; `memory_tokens` makes
+/// them engines.
+pub fn service_configuration(
+    service: &str,
+    memory_tokens: Option<u64>,
+    work_rate: Option<f64>,
+) -> ViewChange {
     let service = ServiceEntry {
         name: service.into(),
         connection_limit: 600,
         cold_period: Duration::ZERO,
         cold_rate: 0.0,
-        memory_tokens: None,
+        memory_tokens,
     };
     ViewChange::Configuration(Arc::new(RouteConfiguration {
         version: 1,
@@ -42,6 +55,44 @@
         services: vec![service],
         teams: Vec::new(),
         limits: caller_limits(),
-        work_rate: None,
+        work_rate,
     }))
 }
+
+/// Returns the entry of a ready upstream.
+pub fn upstream_entry(service: &str, slots: u32) -> UpstreamEntry {
+    UpstreamEntry {
+        service: service.into(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "caerdydd".into(),
+        version: "v1".into(),
+        slots,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        started: None,
+    }
+}
+
+/// Returns a call that has just arrived.
+pub fn pending_call(
+    id: CallId,
+    service: &str,
+    prompt: Option<PromptShape>,
+    now: Instant,
+) -> PendingCall {
+    PendingCall {
+        id,
+        route: "route".into(),
+        service: service.into(),
+        team: None,
+        priority: 1,
+        homes: None,
+        prompt,
+        objective: Duration::from_millis(500),
+        arrived: now,
+        deadline: now + Duration::from_secs(10),
+        fingerprint: id,
+        tried: Vec::new(),
+        charge: BudgetCharge::First,
+    }
+}
--- a/tests/testsuite/support/router_fleet.rs
+++ b/tests/testsuite/support/router_fleet.rs
@@ -367,6 +367,7 @@
         self.next_call += 1;
         let pending = PendingCall {
             id,
+            route: "route".into(),
             service: "model".into(),
             team: Some(self.plan.teams[call.team].name.clone()),
             priority: 1,
--- a/tests/testsuite/upstream_notices.rs
+++ b/tests/testsuite/upstream_notices.rs
@@ -64,6 +64,7 @@
         self.next_call += 1;
         let call = PendingCall {
             id,
+            route: "route".into(),
             service: "booking".into(),
             team: None,
             priority: 1,
