--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -12,7 +12,7 @@
 use googletest::prelude::*;
 use indexmap::IndexMap;
 
-use super::support::direct_path::{caller_limits, fleet_bounds};
+use super::support::direct_path::{caller_limits, fleet_bounds, pending_call, upstream_entry};
 
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
@@ -42,26 +42,13 @@
     }))
 }
 
-fn entry(service: &str, slots: u32) -> UpstreamEntry {
-    UpstreamEntry {
-        service: service.into(),
-        address: ([127, 0, 0, 1], 9000).into(),
-        data_centre: "caerdydd".into(),
-        version: "v1".into(),
-        slots,
-        leaving: false,
-        cold_left: Duration::ZERO,
-        started: None,
-    }
-}
-
 /// Creates a dispatcher with two peers and the given upstreams of the service `model`.
 fn fleet(upstreams: &[&str], now: Instant) -> DirectDispatcher {
     let mut dispatcher =
         DirectDispatcher::new("router-1".into(), "caerdydd".into(), regions(), fleet_bounds());
     dispatcher.apply(&configuration(None), now);
     for id in upstreams {
-        dispatcher.apply(&ViewChange::Upstream((*id).into(), entry("model", 128)), now);
+        dispatcher.apply(&ViewChange::Upstream((*id).into(), upstream_entry("model", 128)), now);
     }
     dispatcher.set_members(3);
     dispatcher
@@ -80,19 +67,10 @@
 
 fn call(id: CallId, team: &str, prompt: PromptShape, now: Instant) -> PendingCall {
     PendingCall {
-        id,
-        route: "route".into(),
-        service: "model".into(),
         team: Some(team.into()),
-        priority: 1,
-        homes: None,
-        prompt: Some(prompt),
         objective: OBJECTIVE,
-        arrived: now,
         deadline: now + Duration::from_secs(4),
-        fingerprint: id,
-        tried: Vec::new(),
-        charge: BudgetCharge::First,
+        ..pending_call(id, "model", Some(prompt), now)
     }
 }
 
@@ -171,7 +149,8 @@
                 DirectDispatcher::new(node.into(), "caerdydd".into(), regions(), fleet_bounds());
             dispatcher.apply(&configuration(None), now);
             for id in ["a", "b", "c", "d", "e"] {
-                dispatcher.apply(&ViewChange::Upstream(id.into(), entry("model", 128)), now);
+                dispatcher
+                    .apply(&ViewChange::Upstream(id.into(), upstream_entry("model", 128)), now);
             }
             let shape = prompt(part, 4_000, 300);
             chosen.push(send(&mut dispatcher, call(1, "team", shape, now), now));
@@ -223,7 +202,7 @@
 fn plain_fleet(now: Instant) -> DirectDispatcher {
     let mut dispatcher = fleet(&[], now);
     dispatcher.set_members(29);
-    dispatcher.apply(&ViewChange::Upstream("plain".into(), entry("booking", 6)), now);
+    dispatcher.apply(&ViewChange::Upstream("plain".into(), upstream_entry("booking", 6)), now);
     dispatcher
 }
 
@@ -340,7 +319,7 @@
 fn dispatch_cold_upstream_within_share() {
     let now = Instant::now();
     let mut dispatcher = fleet(&["a"], now);
-    let cold = UpstreamEntry { cold_left: Duration::from_secs(5), ..entry("model", 128) };
+    let cold = UpstreamEntry { cold_left: Duration::from_secs(5), ..upstream_entry("model", 128) };
     dispatcher.apply(&ViewChange::Upstream("a".into(), cold), now);
     let mut sent = 0;
     for id in 0..100 {
@@ -359,7 +338,7 @@
     let now = Instant::now();
     let mut dispatcher = fleet(&["a"], now);
     let started = Some(SystemTime::UNIX_EPOCH + Duration::from_secs(9));
-    let restarted = UpstreamEntry { started, ..entry("model", 128) };
+    let restarted = UpstreamEntry { started, ..upstream_entry("model", 128) };
     dispatcher.apply(&ViewChange::Upstream("a".into(), restarted), now);
     expect_that!(dispatcher.upstreams()["a"].cold.is_cold(now + Duration::from_secs(2)), eq(true));
     expect_that!(dispatcher.upstreams()["a"].cold.is_cold(now + Duration::from_secs(4)), eq(false));
@@ -381,7 +360,7 @@
 fn dispatch_leaving_upstream_gets_nothing() {
     let now = Instant::now();
     let mut dispatcher = fleet(&["a"], now);
-    let leaving = UpstreamEntry { leaving: true, ..entry("model", 128) };
+    let leaving = UpstreamEntry { leaving: true, ..upstream_entry("model", 128) };
     dispatcher.apply(&ViewChange::Upstream("a".into(), leaving), now);
     dispatcher.enqueue(call(1, "team", prompt(1, 0, 9), now), now);
     assert_that!(
@@ -626,7 +605,7 @@
     dispatcher.enqueue(call(1, "team", prompt(1, 0, 2_000), now), now);
     assert_that!(dispatcher.dispatch(now), is_empty());
     dispatcher.apply(&ViewChange::UpstreamGone("a".into()), now);
-    dispatcher.apply(&ViewChange::Upstream("c".into(), entry("model", 128)), now);
+    dispatcher.apply(&ViewChange::Upstream("c".into(), upstream_entry("model", 128)), now);
     let sent = granted(&dispatcher.dispatch(now));
     assert_that!(sent.len(), eq(1));
     expect_that!(*sent[0].1.upstream, eq("c"));
