--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Plays a case: run-case.sh FOLDER NAME. The temporary folder holds settings and logs of the
+# gateways; KEEP=1 keeps it and prints its name.
+set -uo pipefail
+folder="$(cd "$1" && pwd)"
+cd "$(dirname "$0")/.."
+if [ ! -x target/review/standin ] || [ ! -x target/release/godwitcrank-platform ]; then
+    echo "not built: the build of the deploy file and review/build.sh come first"
+    exit 2
+fi
+CASE_FOLDER="$(mktemp -d)"
+export CASE_FOLDER CASE_RECORD="$folder/record.txt"
+timeout --kill-after=5 110 target/review/standin "$2"
+code=$?
+if [ "${KEEP:-0}" = 1 ]; then echo "kept $CASE_FOLDER"; else rm -rf "$CASE_FOLDER"; fi
+# The stand-in ends its processes when it ends, also after a timeout.
+if [ "$code" -gt 2 ]; then code=2; fi
+exit "$code"
