--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,8 +1,10 @@
 //! The cases.
 
+mod load;
 mod notice;
 mod relay;
 mod rollout;
+mod stopping;
 
 /// Plays a case; returns 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 pub fn play(name: &str) -> i32 {
@@ -13,6 +15,7 @@
         "rollout-load" => rollout::play(rollout::Plan::UNDER_LOAD, trouble),
         "rollout-route" => rollout::play(rollout::Plan::ONE_ROUTE, trouble),
         "rollout-split" => rollout::play(rollout::Plan::TWO_ROUTERS, trouble),
+        "stopping" => stopping::play(trouble),
         _ => 2,
     }
 }
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -1,9 +1,10 @@
 //! An engine as a process of its own. It writes a line for each request that it begins and ends.
 //!
-//! Usage: `standin engine ID SLOTS WORK_MS EVENTS [quiet] [fails=PREFIX] [each=N] [bears=M]`. With 0
-//! events it answers in one piece, else with a stream of so many events. It serves `SLOTS` requests at
-//! once and queues the others. Of the requests whose path begins with `PREFIX`, it fails every `N`th
-//! one; where `bears` is given, only while more than `M` requests run.
+//! Usage: `standin engine ID SLOTS WORK_MS EVENTS [quiet] [fails=PREFIX] [each=N] [bears=M]
+//! [long=PREFIX]`. With 0 events it answers in one piece, else with a stream of so many events. It
+//! serves `SLOTS` requests at once and queues the others. Of the requests whose path begins with the
+//! prefix of `fails`, it fails every `N`th one; where `bears` is given, only while more than `M`
+//! requests run. Streams on the prefix of `long` take `LONG_STREAM`, and it always tells of them.
 
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
@@ -13,6 +14,9 @@
 
 use crate::http::{Message, read_request, write_answer};
 
+/// Length of the streams on the prefix of `long`.
+const LONG_STREAM: Duration = Duration::from_millis(11_000);
+
 struct Engine {
     id: String,
     slots: usize,
@@ -23,6 +27,7 @@
     is_quiet: bool,
     /// Prefix of the paths on which it fails every third request, and the requests there.
     fails: Option<String>,
+    long: Option<String>,
     seen: AtomicU64,
     each: u64,
     bears: u64,
@@ -44,6 +49,7 @@
         freed: Condvar::new(),
         is_quiet: arguments.iter().any(|word| word == "quiet"),
         fails: arguments.iter().find_map(|word| word.strip_prefix("fails=")).map(str::to_owned),
+        long: arguments.iter().find_map(|word| word.strip_prefix("long=")).map(str::to_owned),
         seen: AtomicU64::new(0),
         each: option(arguments, "each=").unwrap_or(3),
         bears: option(arguments, "bears=").unwrap_or(0),
@@ -96,7 +102,8 @@
         }
         *busy += 1;
     }
-    if !engine.is_quiet {
+    let is_long = engine.long.as_ref().is_some_and(|prefix| request.target.starts_with(prefix));
+    if !engine.is_quiet || is_long {
         say(&format!("BEGIN {attempt} {} {}", request.method, request.target));
     }
     let signature = format!("{}.{attempt}", engine.id);
@@ -107,10 +114,11 @@
         std::thread::sleep(engine.work);
         write_answer(writer, 200, &[echo, signed], format!("answer to {attempt}").as_bytes())
     } else {
-        stream_events(engine, writer, &[echo, signed])
+        stream_events(engine, writer, &[echo, signed], is_long)
     };
-    if !engine.is_quiet {
-        say(&format!("END {attempt}"));
+    if !engine.is_quiet || is_long {
+        let end = if written.is_ok() { "END" } else { "CUT" };
+        say(&format!("{end} {attempt}"));
     }
     *engine.busy.lock().expect("no holder panicked") -= 1;
     engine.freed.notify_one();
@@ -130,6 +138,7 @@
     engine: &Engine,
     writer: &mut TcpStream,
     headers: &[(&str, &str)],
+    is_long: bool,
 ) -> std::io::Result<()> {
     let mut head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\
                     content-type: text/event-stream\r\n"
@@ -138,7 +147,8 @@
         head.push_str(&format!("{name}: {value}\r\n"));
     }
     writer.write_all(format!("{head}\r\n").as_bytes())?;
-    let pause = engine.work / engine.events as u32;
+    let time = if is_long { LONG_STREAM } else { engine.work };
+    let pause = time / engine.events as u32;
     for event in 1..=engine.events {
         std::thread::sleep(pause);
         let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(48));
