--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,6 +8,8 @@
     echo "not built: the build of the deploy file and review/build.sh come first"
     exit 2
 fi
+# A router of the sheet may open 4,100 files, and the clients share one process.
+ulimit -Sn 8192 2> /dev/null || ulimit -Sn "$(ulimit -Hn)"
 CASE_FOLDER="$(mktemp -d)"
 export CASE_FOLDER CASE_RECORD="$folder/record.txt"
 timeout --kill-after=5 110 target/review/standin "$2"
--- a/review/standin/cases/load.rs
+++ b/review/standin/cases/load.rs
@@ -65,8 +65,12 @@
     (0..MODEL_ENGINES)
         .map(|number| {
             let id = format!("i-m{number}");
-            let engine =
-                EngineProcess::start(&id, [MODEL_SLOTS, STREAM_MS, EVENTS], &["quiet", "long=/guide/"], record);
+            let engine = EngineProcess::start(
+                &id,
+                [MODEL_SLOTS, STREAM_MS, EVENTS],
+                &["quiet", "long=/guide/"],
+                record,
+            );
             let entry = engine.entry("godwit-llm", ZONES[number % 3], MODEL_SLOTS);
             store.write("servers", &id, Some(&entry));
             engine
@@ -132,7 +136,10 @@
                 ("x-key", "key-1".to_owned()),
                 ("x-model", "m".to_owned()),
                 ("x-token-counts", "715,900".to_owned()),
-                ("x-prompt-prefix", format!("a1:103,{:x}:69,{:x}:543", 0xb0 + part % 20, part << 8)),
+                (
+                    "x-prompt-prefix",
+                    format!("a1:103,{:x}:69,{:x}:543", 0xb0 + part % 20, part << 8),
+                ),
             ];
             let (_, outcome) = send(front, "POST", "/chat/2f", 12_000, &extra, b"{}");
             let mut streams = press.streams.lock().expect("no holder panicked");
--- a/review/standin/cases/relay.rs
+++ b/review/standin/cases/relay.rs
@@ -121,10 +121,8 @@
     let has_connected = |attempt: &&Attempt| !matches!(attempt.outcome, Outcome::NoConnection);
     let long: Vec<&Attempt> =
         filings.iter().filter(has_connected).filter(|attempt| attempt.took > TIMEOUT).collect();
-    let late: Vec<&&Attempt> = long
-        .iter()
-        .filter(|attempt| attempt.took > TIMEOUT + SLACK)
-        .collect();
+    let late: Vec<&&Attempt> =
+        long.iter().filter(|attempt| attempt.took > TIMEOUT + SLACK).collect();
     let never = late.iter().filter(|attempt| matches!(attempt.outcome, Outcome::Deadline(_)));
     let never = never.count();
     for attempt in &late {
--- a/review/standin/cases/rollout.rs
+++ b/review/standin/cases/rollout.rs
@@ -49,16 +49,11 @@
     };
 
     /// The sheet's deployment. A fifth of the answers on one route are failures.
-    pub const ONE_ROUTE: Self =
-        Self { badness: &["fails=/chat/", "each=5"], ..Self::UNDER_LOAD };
+    pub const ONE_ROUTE: Self = Self { badness: &["fails=/chat/", "each=5"], ..Self::UNDER_LOAD };
 
     /// Two routers. A quarter of the answers are failures while an engine runs more than two requests.
-    pub const TWO_ROUTERS: Self = Self {
-        routers: 2,
-        engines: 6,
-        stream_ms: 300,
-        badness: &["fails=/", "each=4", "bears=2"],
-    };
+    pub const TWO_ROUTERS: Self =
+        Self { routers: 2, engines: 6, stream_ms: 300, badness: &["fails=/", "each=4", "bears=2"] };
 }
 
 /// Requests a second on each route and at each router: a fifth of the sheet's, which has five.
@@ -156,7 +151,8 @@
     (0..plan.engines)
         .map(|number| {
             let id = format!("i-{version}-{number}");
-            let engine = EngineProcess::start(&id, [SLOTS, plan.stream_ms, EVENTS], options, record);
+            let engine =
+                EngineProcess::start(&id, [SLOTS, plan.stream_ms, EVENTS], options, record);
             let zone = ZONES[number % 3];
             let entry = engine.versioned_entry(SERVICE, zone, SLOTS, version);
             store.write("servers", &id, Some(&entry));
@@ -229,7 +225,10 @@
                 let body = format!("{{\"number\":{part}}}");
                 let (attempt, outcome) =
                     send(front, "POST", &target, deadline_ms, &extra, body.as_bytes());
-                record.line(&format!("client of {node}: {attempt} POST {target} -> {}", outcome.label()));
+                record.line(&format!(
+                    "client of {node}: {attempt} POST {target} -> {}",
+                    outcome.label()
+                ));
                 let mut ends = seen.ends.lock().expect("no holder panicked");
                 *ends.entry((phase, node, outcome.label())).or_default() += 1;
             });
--- a/review/standin/cases/stopping.rs
+++ b/review/standin/cases/stopping.rs
@@ -8,7 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use super::load::{Press, Routers, start_client, start_models};
+use super::load::{Press, Routers, STEP_TIME, start_client, start_models};
 use super::{configuration, route};
 use crate::http::Outcome;
 use crate::store::Store;
@@ -62,7 +62,12 @@
         let (front, guides, record) = (busy.front, Arc::clone(&guides), record.clone());
         clients.push(start_client(move || ask(number, front, asking_until, &guides, &record)));
     }
-    std::thread::sleep(ASKING);
+    // The press goes on growing meanwhile, so that connections are handed over all the time.
+    while Instant::now() + STEP_TIME < asking_until {
+        press.grow(&busy, &mut clients);
+        std::thread::sleep(STEP_TIME);
+    }
+    std::thread::sleep(asking_until.saturating_duration_since(Instant::now()));
     press.stop.store(true, Ordering::Relaxed);
     std::thread::sleep(CALM);
     if trouble {
@@ -92,13 +97,10 @@
             ("x-prompt-prefix", format!("a1:103,{:x}:69,9{part:x}:543", 0xb0 + part % 20)),
         ];
         let body = format!("{{\"guide\":{part}}}");
-        let (id, outcome) =
-            send(front, "POST", "/guide/2f", DEADLINE_MS, &extra, body.as_bytes());
+        let (id, outcome) = send(front, "POST", "/guide/2f", DEADLINE_MS, &extra, body.as_bytes());
         record.line(&format!("client: {id} POST /guide/2f -> {}", outcome.label()));
-        let has_begun = matches!(
-            outcome,
-            Outcome::Cut(Some(200)) | Outcome::Deadline(_)
-        ) || outcome.status() == Some(200);
+        let has_begun = matches!(outcome, Outcome::Cut(Some(200)) | Outcome::Deadline(_))
+            || outcome.status() == Some(200);
         let guide = Guide { id, ended: Instant::now(), outcome };
         guides.lock().expect("no holder panicked").push(guide);
         if has_begun {
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -58,9 +58,8 @@
     say(&format!("LISTEN {}", listener.local_addr().expect("the listener is bound")));
     for stream in listener.incoming().flatten() {
         let engine = Arc::clone(&engine);
-        let _ = std::thread::Builder::new()
-            .stack_size(256 << 10)
-            .spawn(move || serve(&engine, stream));
+        let _ =
+            std::thread::Builder::new().stack_size(256 << 10).spawn(move || serve(&engine, stream));
     }
     0
 }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -118,7 +118,8 @@
             }
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -95,11 +95,8 @@
         let mut command = Command::new(std::env::current_exe().expect("the program has a path"));
         command.args(["engine", id, &slots.to_string(), &work_ms.to_string(), &events.to_string()]);
         command.args(options);
-        let mut child = command
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the engine starts");
+        let mut child =
+            command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().expect("the engine starts");
         let mut lines = BufReader::new(child.stdout.take().expect("it is piped")).lines();
         let first = lines.next().expect("the engine listens").expect("it is text");
         let address = first.trim_start_matches("LISTEN ").parse().expect("it is an address");
@@ -192,7 +189,8 @@
             .replace("{store}", &store.address.to_string());
         let path = folder.join(format!("{node}.toml"));
         std::fs::write(&path, settings).expect("the settings can be written");
-        let output = File::create(folder.join(format!("{node}.log"))).expect("the log can be written");
+        let output =
+            File::create(folder.join(format!("{node}.log"))).expect("the log can be written");
         let child = Command::new("target/release/godwitcrank-platform")
             .arg("gateway")
             .env("GODWITCRANK_CONFIG", &path)
