Let the store's record decide how a version move ends

The second one refused every request with 503 for good, against the store's record, which it had read.

Cause: each router chose the final stage from counts that differ by a report's age, and apply_recorded ignored the record once the own stage was final. On related paths: a router that started during a move sent to a version that was taken back; a record of an earlier order ended a new move; a late record of an old order replaced that of a newer one.

Change: Done exists only by a record; a router that is ready enters Completing and asks for one, and the first final record goes before its own finding. Nothing goes to the target until the record was read (Unread). Records are written under the revision of their order. Routers report stage, order and age of a move.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -153,6 +153,11 @@
         &mut self.trials
     }
 
+    /// Returns the version move of a service.
+    pub fn trial(&self, service: &ServiceId) -> Option<&VersionTrial> {
+        self.trials.get(service)
+    }
+
     /// Returns the number of upstreams that leave or pause by their own statement.
     pub fn left_out(&self, now: Instant) -> usize {
         self.notices.left_out_count(now)
@@ -249,7 +254,9 @@
         report.trials = self
             .trials
             .iter()
-            .map(|(service, trial)| trial.report(self.running_at_other_versions(service, trial)))
+            .map(|(service, trial)| {
+                trial.report(self.running_at_other_versions(service, trial), now)
+            })
             .collect();
     }
 
@@ -482,16 +489,16 @@
     }
 }
 
-/// Returns the counts of the routers that take part in a service's version move.
+/// Returns the counts of the routers that take part in the same version move.
 pub fn trial_counts(
     peers: &PeerTable,
-    service: &ServiceId,
+    trial: &VersionTrial,
     now: Instant,
 ) -> IndexMap<NodeId, TrialCount> {
     peers
         .trials(now)
         .filter_map(|(node, counts)| {
-            let count = counts.iter().find(|count| count.service == *service)?;
+            let count = counts.iter().find(|count| trial.matches(count))?;
             Some((Arc::clone(node), count.clone()))
         })
         .collect()
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -29,6 +29,7 @@
 mod team_usage;
 mod team_work;
 mod upstream_notices;
+mod version_evidence;
 mod version_trial;
 mod view_freshness;
 mod waiting;
@@ -59,6 +60,7 @@
 pub use upstream_notices::{
     MAX_PAUSE, NoticedUpstream, UpstreamNotice, UpstreamNotices, UpstreamStart,
 };
+pub use version_evidence::VersionAnswers;
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
 pub use view_freshness::ViewFreshness;
 pub use window::{RetryBudget, SlidingCounter};
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -9,6 +9,8 @@
 use super::handoff::HandoffOffer;
 use super::part_evidence::{PartReport, ReceivedPart};
 use super::team_usage::{TeamDemand, TeamUsage};
+use super::version_evidence::VersionAnswers;
+use super::version_trial::TrialStage;
 use crate::ids::{
     CallFingerprint, Incarnation, NodeId, ServiceId, StoreRevision, TeamId, UpstreamId, VersionId,
 };
@@ -59,32 +61,25 @@
     pub after: Vec<(UpstreamId, PeerLoad)>,
 }
 
-/// Answers that one router received during a version move.
+/// State of a version move at one router, and the answers that it received.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TrialCount {
     /// The service.
     pub service: ServiceId,
     /// Version that the service moves to.
     pub target: VersionId,
-    /// Good answers from the target.
-    pub target_good: u32,
-    /// Bad answers from the target.
-    pub target_bad: u32,
-    /// Good answers from other versions.
-    pub other_good: u32,
-    /// Bad answers from other versions.
-    pub other_bad: u32,
+    /// Revision of the order.
+    pub order: StoreRevision,
+    /// Stage of the move at this router.
+    pub stage: TrialStage,
+    /// Whether the store's record names this stage, which then is final.
+    pub is_recorded: bool,
+    /// Time since the router learned of the order.
+    pub age: Duration,
     /// Calls in progress at other versions.
     pub other_running: u32,
-    /// Whether this router sends all calls to the target.
-    pub moved: bool,
-}
-
-impl TrialCount {
-    /// Creates an empty count.
-    pub fn new(service: &ServiceId, target: &VersionId) -> Self {
-        Self { service: service.clone(), target: target.clone(), ..Self::default() }
-    }
+    /// Answers that this router received.
+    pub answers: VersionAnswers,
 }
 
 /// Report that a router sends to its peers several times a second. It is encoded as a sequence, so
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -98,7 +98,9 @@
         if of_target.is_empty() {
             return others;
         }
-        if others.is_empty() && trial.stage() == TrialStage::Trial {
+        // What was not moved or taken back goes on where it can.
+        let is_open = matches!(trial.stage(), TrialStage::Unread | TrialStage::Trial);
+        if others.is_empty() && is_open {
             return of_target;
         }
         if trial.sends_next_to_target() { of_target } else { others }
--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -2,14 +2,17 @@
 //! first, then all of them, and none once it proves faulty.
 //!
 //! Every router counts the answers that it receives and adds the counts of its peers. Each one
-//! evaluates the sum by itself, so that all stop using a bad version at once; only the record of
-//! the move needs a single writer.
+//! evaluates the sum by itself, so that all stop using a bad version at once. Their sums differ by
+//! the age of the reports, so the end of the move is decided by its record in the store alone: the
+//! store accepts one final record, and every router follows it, whatever it found itself.
 
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::peers::TrialCount;
+use super::version_evidence::VersionAnswers;
 use crate::ids::NodeId;
 use crate::routing::MoveOrder;
 
@@ -26,32 +29,48 @@
 /// Fewest answers of the target that allow to promote it.
 const MIN_ANSWERS: u32 = 20;
 
-/// Fewest bad answers of the target that count as a fault.
-const MIN_BAD_ANSWERS: u32 = 6;
-
-/// Excess of the target's share of bad answers over that of the other versions that is tolerated.
-const TOLERATED_BAD_SHARE: f64 = 0.08;
-
-/// Standard errors by which the shares must differ for a fault to be significant.
-const FAULT_STANDARD_ERRORS: f64 = 3.0;
+/// Pause before a record that the store has not confirmed is requested again.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Stage of a version move.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Display,
+)]
 pub enum TrialStage {
+    /// The record of the move has not been read, so it may have ended already. The target gets no
+    /// calls while other versions run.
+    #[default]
+    #[display("unread")]
+    Unread,
     /// The target gets a small share of the calls.
     #[display("trial")]
     Trial,
     /// The target gets all calls; the move is not yet complete.
     #[display("moved")]
     Moved,
-    /// The move is complete.
+    /// The target gets all calls, and the store is asked to record the move as complete.
+    #[display("completing")]
+    Completing,
+    /// The move is recorded as complete.
     #[display("done")]
     Done,
-    /// The target proved faulty and gets no calls.
+    /// The target proved faulty, here or at another router, and gets no calls.
     #[display("taken-back")]
     TakenBack,
 }
 
+impl TrialStage {
+    /// Returns whether a record of this stage ends the move.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Done | Self::TakenBack)
+    }
+
+    /// Returns whether all calls go to the target.
+    fn is_moved(self) -> bool {
+        matches!(self, Self::Moved | Self::Completing | Self::Done)
+    }
+}
+
 /// Result of an evaluation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StageChange {
@@ -67,16 +86,28 @@
     order: MoveOrder,
     ordered_at: Instant,
     stage: TrialStage,
-    own: TrialCount,
+    /// Whether the store's record names the stage, which then is final.
+    is_recorded: bool,
+    /// Last requested record, and when it was requested.
+    requested: Option<(TrialStage, Instant)>,
+    answers: VersionAnswers,
     calls: u64,
     target_calls: u64,
 }
 
 impl VersionTrial {
-    /// Starts a move that was ordered at `ordered_at`.
+    /// Starts a move whose order became known at `ordered_at`.
     pub fn new(order: MoveOrder, ordered_at: Instant) -> Self {
-        let own = TrialCount::new(&order.service, &order.target);
-        Self { order, ordered_at, stage: TrialStage::Trial, own, calls: 0, target_calls: 0 }
+        Self {
+            order,
+            ordered_at,
+            stage: TrialStage::Unread,
+            is_recorded: false,
+            requested: None,
+            answers: VersionAnswers::default(),
+            calls: 0,
+            target_calls: 0,
+        }
     }
 
     /// Order of the move.
@@ -89,18 +120,29 @@
         self.stage
     }
 
-    /// Applies a stage that is recorded in the store; a final stage is kept.
-    pub fn apply_recorded(&mut self, stage: TrialStage) {
-        if !matches!(self.stage, TrialStage::Done | TrialStage::TakenBack) {
-            self.stage = stage;
+    /// Returns whether the store's record names the current stage, which then is final.
+    pub fn is_recorded(&self) -> bool {
+        self.is_recorded
+    }
+
+    /// Applies the stage that the store's record of this order names. The first final record
+    /// stays, and goes before what this router found itself.
+    pub fn apply_recorded(&mut self, stage: TrialStage) -> StageChange {
+        if self.is_recorded {
+            return StageChange::Unchanged;
+        }
+        self.is_recorded = stage.is_final();
+        if self.is_recorded || self.stage == TrialStage::Unread {
+            return self.enter(stage);
         }
+        StageChange::Unchanged
     }
 
     /// Returns whether the next call goes to the target, and counts it.
     pub fn sends_next_to_target(&mut self) -> bool {
         match self.stage {
-            TrialStage::Moved | TrialStage::Done => true,
-            TrialStage::TakenBack => false,
+            TrialStage::Moved | TrialStage::Completing | TrialStage::Done => true,
+            TrialStage::Unread | TrialStage::TakenBack => false,
             TrialStage::Trial => {
                 self.calls += 1;
                 let due = (self.target_calls as f64) < TRIAL_SHARE * self.calls as f64;
@@ -112,24 +154,39 @@
 
     /// Counts an answer of the target or of another version.
     pub fn record(&mut self, of_target: bool, good: bool) {
-        let count = match (of_target, good) {
-            (true, true) => &mut self.own.target_good,
-            (true, false) => &mut self.own.target_bad,
-            (false, true) => &mut self.own.other_good,
-            (false, false) => &mut self.own.other_bad,
-        };
-        *count += 1;
+        self.answers.record(of_target, good);
     }
 
     /// Returns this router's counts, for the report to peers.
-    pub fn report(&self, other_running: u32) -> TrialCount {
+    pub fn report(&self, other_running: u32, now: Instant) -> TrialCount {
         TrialCount {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            order: self.order.revision,
+            stage: self.stage,
+            is_recorded: self.is_recorded,
+            age: now.saturating_duration_since(self.ordered_at),
             other_running,
-            moved: matches!(self.stage, TrialStage::Moved | TrialStage::Done),
-            ..self.own.clone()
+            answers: self.answers,
         }
     }
 
+    /// Returns whether a peer's counts belong to the same order.
+    pub fn matches(&self, count: &TrialCount) -> bool {
+        count.service == self.order.service
+            && count.target == self.order.target
+            && count.order == self.order.revision
+    }
+
+    /// Returns the answers that this router and its peers received.
+    pub fn total_answers(&self, peers: &IndexMap<NodeId, TrialCount>) -> VersionAnswers {
+        let mut total = self.answers;
+        for count in peers.values() {
+            total += count.answers;
+        }
+        total
+    }
+
     /// Evaluates the move by the counts of all routers.
     pub fn evaluate(
         &mut self,
@@ -138,37 +195,76 @@
         routers: u32,
         now: Instant,
     ) -> StageChange {
-        let mut sum = self.own.clone();
-        for count in peers.values() {
-            sum.target_good += count.target_good;
-            sum.target_bad += count.target_bad;
-            sum.other_good += count.other_good;
-            sum.other_bad += count.other_bad;
+        if self.is_recorded {
+            return StageChange::Unchanged;
         }
-        let elapsed = now.duration_since(self.ordered_at).as_secs_f64();
-        let elapsed_fraction =
-            elapsed / self.order.duration.max(Duration::from_millis(1)).as_secs_f64();
+        self.adopt_age(peers, now);
+        if let Some(recorded) = peers.values().find(|count| count.is_recorded) {
+            return self.apply_recorded(recorded.stage);
+        }
+        let total = self.total_answers(peers);
+        let found_by_peer = peers.values().any(|count| count.stage == TrialStage::TakenBack);
+        let elapsed = self.elapsed_fraction(now);
         let next = match self.stage {
-            TrialStage::Trial | TrialStage::Moved if is_faulty(&sum) => TrialStage::TakenBack,
+            TrialStage::Unread | TrialStage::Done | TrialStage::TakenBack => self.stage,
+            _ if found_by_peer || total.is_faulty() => TrialStage::TakenBack,
             TrialStage::Trial
-                if elapsed_fraction >= PROMOTION_FRACTION
-                    && sum.target_good + sum.target_bad >= MIN_ANSWERS =>
+                if elapsed >= PROMOTION_FRACTION && total.target_total() >= MIN_ANSWERS =>
             {
                 TrialStage::Moved
             }
-            TrialStage::Moved => {
-                let all_moved =
-                    peers.len() + 1 >= routers as usize && peers.values().all(|count| count.moved);
+            TrialStage::Trial => TrialStage::Trial,
+            TrialStage::Moved | TrialStage::Completing => {
+                let all_moved = peers.len() + 1 >= routers as usize
+                    && peers.values().all(|count| count.stage.is_moved());
                 let drained =
                     other_running == 0 && peers.values().all(|count| count.other_running == 0);
-                if all_moved && (drained || elapsed_fraction >= COMPLETION_FRACTION) {
-                    TrialStage::Done
+                if all_moved && (drained || elapsed >= COMPLETION_FRACTION) {
+                    TrialStage::Completing
                 } else {
                     TrialStage::Moved
                 }
             }
-            stage => stage,
         };
+        self.enter(next)
+    }
+
+    /// Returns the stage that the store should record now, if any. A request that was not confirmed
+    /// is repeated after a pause, since the store may be away.
+    pub fn take_record_request(&mut self, now: Instant) -> Option<TrialStage> {
+        let wanted = match self.stage {
+            _ if self.is_recorded => return None,
+            // The answer says whether the move has a record already.
+            TrialStage::Unread => TrialStage::Trial,
+            TrialStage::Completing => TrialStage::Done,
+            TrialStage::TakenBack => TrialStage::TakenBack,
+            TrialStage::Trial | TrialStage::Moved | TrialStage::Done => return None,
+        };
+        let is_pending = self.requested.is_some_and(|(stage, at)| {
+            stage == wanted && now.saturating_duration_since(at) < RECORD_INTERVAL
+        });
+        if is_pending {
+            return None;
+        }
+        self.requested = Some((wanted, now));
+        Some(wanted)
+    }
+
+    /// Takes over the age of the order from the router that has known it longest: this one may have
+    /// started during the move.
+    fn adopt_age(&mut self, peers: &IndexMap<NodeId, TrialCount>, now: Instant) {
+        let oldest = peers.values().map(|count| count.age).max().unwrap_or_default();
+        if let Some(ordered_at) = now.checked_sub(oldest) {
+            self.ordered_at = self.ordered_at.min(ordered_at);
+        }
+    }
+
+    fn elapsed_fraction(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.ordered_at).as_secs_f64();
+        elapsed / self.order.duration.max(Duration::from_millis(1)).as_secs_f64()
+    }
+
+    fn enter(&mut self, next: TrialStage) -> StageChange {
         if next == self.stage {
             return StageChange::Unchanged;
         }
@@ -176,20 +272,3 @@
         StageChange::Entered(next)
     }
 }
-
-/// Compares the shares of bad answers of the target and the other versions with a two-proportion
-/// z-test.
-fn is_faulty(sum: &TrialCount) -> bool {
-    if sum.target_bad < MIN_BAD_ANSWERS {
-        return false;
-    }
-    let target_total = f64::from(sum.target_good + sum.target_bad);
-    let other_total = f64::from(sum.other_good + sum.other_bad);
-    let target_share = f64::from(sum.target_bad) / target_total;
-    let other_share = if other_total > 0.0 { f64::from(sum.other_bad) / other_total } else { 0.0 };
-    let pooled = f64::from(sum.target_bad + sum.other_bad) / (target_total + other_total);
-    let error =
-        (pooled * (1.0 - pooled) * (1.0 / target_total + 1.0 / other_total.max(1.0))).sqrt();
-    target_share > other_share + TOLERATED_BAD_SHARE
-        && target_share - other_share > FAULT_STANDARD_ERRORS * error
-}
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -59,19 +59,27 @@
     pub age: Duration,
 }
 
-/// Recorded state of a version move.
+/// State of a version move, as the store records it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MoveRecord {
     /// The service.
     pub service: ServiceId,
     /// Version that the traffic moves to.
     pub target: VersionId,
+    /// Revision of the order that the record belongs to.
+    pub order: StoreRevision,
     /// Stage of the move.
     pub stage: TrialStage,
 }
 
-/// A record and the revision at which it was read.
-pub type RecordedMove = (MoveRecord, StoreRevision);
+/// What the store holds as the record of a service's version move.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredMove {
+    /// Target and stage; `None` without a record, and if it cannot be read.
+    pub state: Option<(VersionId, TrialStage)>,
+    /// Revision at which it was written; 0 without a record.
+    pub revision: StoreRevision,
+}
 
 /// Store of the configuration, the upstreams, the members and the records of version moves.
 pub trait FleetSource: Send + Sync + 'static {
@@ -102,10 +110,10 @@
     fn read_move(
         &self,
         service: &ServiceId,
-    ) -> impl Future<Output = Result<Option<RecordedMove>, SourceError>> + Send;
+    ) -> impl Future<Output = Result<StoredMove, SourceError>> + Send;
 
-    /// Writes the record of a version move unless it was changed after `revision`; returns whether
-    /// it was written.
+    /// Writes the record of a version move unless it was changed after `revision`, or its order is
+    /// no longer in force; returns whether it was written.
     fn record_move(
         &self,
         record: &MoveRecord,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -11,7 +11,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::adapter::{MemberEntry, MoveRecord};
-use super::decision_log::{log_notice, log_verdict};
+use super::decision_log::{log_notice, log_stage, log_verdict};
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
 use super::follow::CheckSignals;
 use super::observe::GatewayMetrics;
@@ -20,10 +20,10 @@
 use super::work_log::WorkLog;
 use crate::decision::direct::{
     CallDecision, CallOutcome, DirectDispatcher, HandoffOffer, PeerReport, ReceivedLoad,
-    StageChange, TrialStage, ViewFreshness, trial_counts,
+    TrialStage, ViewFreshness, trial_counts,
 };
 use crate::ids::{CallId, GrantId, Incarnation, NodeId, StoreRevision};
-use crate::routing::{FleetView, RouteTable, ViewChange, ViewPart};
+use crate::routing::{FleetView, MoveOrder, RouteTable, ViewChange, ViewPart};
 use crate::supervisor::{ControlInbox, StopSignal};
 
 /// Minimum time between two reports to peers.
@@ -381,46 +381,46 @@
         let routers = self.dispatcher.peers().router_count(now);
         let services: Vec<_> = self.dispatcher.trials_mut().keys().cloned().collect();
         for service in services {
-            let counts = trial_counts(self.dispatcher.peers(), &service, now);
             let Some(mut trial) = self.dispatcher.trials_mut().shift_remove(&service) else {
                 continue;
             };
+            let counts = trial_counts(self.dispatcher.peers(), &trial, now);
             let other_running = self.dispatcher.running_at_other_versions(&service, &trial);
-            if let StageChange::Entered(stage) =
-                trial.evaluate(other_running, &counts, routers, now)
-            {
-                let order = trial.order();
-                log::info!(
-                    service = &*service, target = &*order.target, stage:% = stage,
-                    routers = counts.len() + 1; "version move entered a stage"
-                );
-                self.record_move(&MoveRecord {
-                    service: Arc::clone(&service),
-                    target: Arc::clone(&order.target),
-                    stage,
-                });
+            let change = trial.evaluate(other_running, &counts, routers, now);
+            log_stage(&trial, change, &counts);
+            if let Some(stage) = trial.take_record_request(now) {
+                self.request_record(trial.order(), stage);
             }
             self.dispatcher.trials_mut().insert(service, trial);
         }
     }
 
-    /// Queues a record for the store. With a full queue the record is dropped, and this router
-    /// writes the stage again only at its next change.
-    fn record_move(&self, record: &MoveRecord) {
-        if self.context.outbox.moves.try_send(record.clone()).is_err() {
+    /// Requests a record from the store. With a full queue the request is dropped; the move
+    /// requests it again.
+    fn request_record(&self, order: &MoveOrder, stage: TrialStage) {
+        let record = MoveRecord {
+            service: Arc::clone(&order.service),
+            target: Arc::clone(&order.target),
+            order: order.revision,
+            stage,
+        };
+        if self.context.outbox.moves.try_send(record).is_err() {
             log::warn!(
-                service = &*record.service, stage:% = record.stage;
-                "the queue of move records is full; the record is dropped"
+                service = &*order.service, stage:% = stage;
+                "the queue of move records is full; the record is requested again"
             );
         }
     }
 
     fn apply_move_record(&mut self, record: &MoveRecord) {
-        if let Some(trial) = self.dispatcher.trials_mut().get_mut(&record.service)
-            && trial.order().target == record.target
-            && matches!(record.stage, TrialStage::Done | TrialStage::TakenBack)
-        {
-            trial.apply_recorded(record.stage);
+        let Some(trial) = self.dispatcher.trials_mut().get_mut(&record.service) else { return };
+        if trial.order().target != record.target || trial.order().revision != record.order {
+            return;
+        }
+        let change = trial.apply_recorded(record.stage);
+        if let Some(trial) = self.dispatcher.trial(&record.service) {
+            let counts = trial_counts(self.dispatcher.peers(), trial, Instant::now());
+            log_stage(trial, change, &counts);
         }
     }
 
--- a/src/gateway/decision_log.rs
+++ b/src/gateway/decision_log.rs
@@ -1,9 +1,27 @@
-//! Log lines of the dispatcher's decisions about upstreams and parts of prompts.
+//! Log lines of decisions about upstreams, parts of prompts and version moves.
 
 use http::StatusCode;
+use indexmap::IndexMap;
 
-use crate::decision::direct::{NoticedUpstream, PartVerdict, UpstreamNotice};
-use crate::ids::CallId;
+use crate::decision::direct::{
+    NoticedUpstream, PartVerdict, StageChange, TrialCount, UpstreamNotice, VersionTrial,
+};
+use crate::ids::{CallId, NodeId};
+
+/// Logs that a version move entered another stage, with the answers that all routers counted.
+pub(super) fn log_stage(
+    trial: &VersionTrial,
+    change: StageChange,
+    peers: &IndexMap<NodeId, TrialCount>,
+) {
+    let StageChange::Entered(stage) = change else { return };
+    let order = trial.order();
+    log::info!(
+        service = &*order.service, target = &*order.target, order = order.revision,
+        stage:% = stage, recorded = trial.is_recorded(), routers = peers.len() + 1,
+        answers:% = trial.total_answers(peers); "version move entered a stage"
+    );
+}
 
 /// Logs that calls with a part of prompts are refused from now on, or sent again.
 pub(super) fn log_verdict(verdict: PartVerdict) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,7 +57,7 @@
 
 pub use adapter::{
     AnswerMetadata, CallCodec, CallMetadata, FleetSource, ForwardedCall, GatewayAdapter,
-    GatewayRefusal, HeadError, MemberEntry, MoveRecord, RecordedMove, SourceError,
+    GatewayRefusal, HeadError, MemberEntry, MoveRecord, SourceError, StoredMove,
 };
 pub use event_frames::{EventFrames, OversizedEvent};
 pub use observe::GatewayMetrics;
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -1,22 +1,19 @@
-//! Writes the records of version moves. The store writes a record only at its expected revision, so
-//! of several routers one succeeds.
+//! Reads and writes the records of version moves. The store writes a record only at its expected
+//! revision and while its order is in force, so of several routers one succeeds, and a late one
+//! cannot replace the record of a newer order.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::{Mutex, mpsc};
 
 use super::GatewayContext;
-use super::adapter::{FleetSource, GatewayAdapter, MoveRecord, SourceError};
+use super::adapter::{FleetSource, GatewayAdapter, MoveRecord, SourceError, StoredMove};
 use super::events::ControlEvent;
 use crate::decision::direct::TrialStage;
 use crate::supervisor::StopSignal;
 
-/// Pause after a failed write.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// Maximum number of attempts to write one record.
-const MAX_WRITES: u32 = 50;
+/// Maximum number of times that a record is read and written because other routers write it, too.
+const MAX_CONFLICTS: u32 = 3;
 
 /// Queue of records; it outlives a restart of the writer.
 pub type MoveQueue = Arc<Mutex<mpsc::Receiver<MoveRecord>>>;
@@ -41,45 +38,55 @@
     }
 }
 
+/// Writes a record unless the move has one already. The control thread requests it again until it
+/// learns of a record.
 async fn write_record<A: GatewayAdapter>(context: &GatewayContext<A>, record: MoveRecord) {
-    for _ in 0..MAX_WRITES {
+    for _ in 0..MAX_CONFLICTS {
         match try_write(context, &record).await {
             Ok(true) => return,
             Ok(false) => {}
             Err(error) => {
-                log::debug!(service = &*record.service; "move not recorded yet: {error}");
-                tokio::time::sleep(RETRY_PAUSE).await;
+                log::info!(
+                    service = &*record.service, target = &*record.target, stage:% = record.stage;
+                    "version move not recorded yet: {error}"
+                );
+                return;
             }
         }
     }
-    log::error!(service = &*record.service, stage:% = record.stage; "move could not be recorded");
+    log::info!(
+        service = &*record.service, target = &*record.target, stage:% = record.stage;
+        "version move not recorded: its record or its order has changed"
+    );
 }
 
-/// Returns whether the record is written or no longer needed.
+/// Returns whether the move has a record that is final or as far as this one.
 async fn try_write<A: GatewayAdapter>(
     context: &GatewayContext<A>,
     record: &MoveRecord,
 ) -> Result<bool, SourceError> {
     let source = context.adapter.source();
-    let recorded = source.read_move(&record.service).await?;
-    if let Some((stored, _)) = &recorded
-        && stored.target == record.target
-        && (stored.stage == record.stage || is_final(stored.stage))
+    let stored = source.read_move(&record.service).await?;
+    if let Some(stage) = stage_of(record, &stored)
+        && (stage.is_final() || !record.stage.is_final())
     {
-        context.send_event(ControlEvent::MoveRecorded(stored.clone()));
+        context.send_event(ControlEvent::MoveRecorded(MoveRecord { stage, ..record.clone() }));
         return Ok(true);
     }
-    let revision = recorded.map_or(0, |(_, revision)| revision);
-    let written = source.record_move(record, revision).await?;
+    let written = source.record_move(record, stored.revision).await?;
     if written {
         log::info!(
             service = &*record.service, target = &*record.target, stage:% = record.stage,
-            revision; "version move recorded"
+            order = record.order, replaced = stored.revision; "version move recorded"
         );
+        context.send_event(ControlEvent::MoveRecorded(record.clone()));
     }
     Ok(written)
 }
 
-fn is_final(stage: TrialStage) -> bool {
-    matches!(stage, TrialStage::Done | TrialStage::TakenBack)
+/// Returns the stored stage if it belongs to the order of `record`: one that was written before
+/// the order belongs to an earlier order.
+fn stage_of(record: &MoveRecord, stored: &StoredMove) -> Option<TrialStage> {
+    let (target, stage) = stored.state.as_ref()?;
+    (*target == record.target && stored.revision > record.order).then_some(*stage)
 }
--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{
-    ConfigurationVersion, DataCentreId, RegionId, RouteId, ServiceId, TeamId, VersionId,
+    ConfigurationVersion, DataCentreId, RegionId, RouteId, ServiceId, StoreRevision, TeamId,
+    VersionId,
 };
 
 /// How often an upstream may run a call.
@@ -163,4 +164,8 @@
     pub target: VersionId,
     /// Time within which the move must be complete.
     pub duration: Duration,
+    /// Revision of the store at which the order was written. A record of the move with a lower
+    /// revision belongs to an earlier order.
+    #[serde(default)]
+    pub revision: StoreRevision,
 }
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -6,7 +6,7 @@
 use godwitcrank::decision::direct::{
     CallLimiter, ConnectionAdmission, CostEstimate, FairLevel, LoadSample, OverloadControl,
     OverloadDetector, PeerReport, PeerTable, PromptShape, RetryBudget, SlidingCounter, StageChange,
-    TeamDemand, TeamUsage, TrialCount, TrialStage, VersionTrial,
+    TeamDemand, TeamUsage, TrialCount, TrialStage, VersionAnswers, VersionTrial,
 };
 use godwitcrank::ids::NodeId;
 use godwitcrank::routing::MoveOrder;
@@ -30,8 +30,11 @@
         service: "model".into(),
         target: "v2".into(),
         duration: Duration::from_secs(20),
+        revision: 7,
     };
-    VersionTrial::new(order, now)
+    let mut trial = VersionTrial::new(order, now);
+    trial.apply_recorded(TrialStage::Trial);
+    trial
 }
 
 fn peers(count: &TrialCount) -> IndexMap<NodeId, TrialCount> {
@@ -182,7 +185,8 @@
     for _ in 0..300 {
         trial.record(false, true);
     }
-    let seen = TrialCount { target_good: 10, target_bad: 10, ..TrialCount::default() };
+    let answers = VersionAnswers { target_good: 10, target_bad: 10, ..VersionAnswers::default() };
+    let seen = TrialCount { answers, ..TrialCount::default() };
     let change = trial.evaluate(5, &peers(&seen), 2, now + Duration::from_secs(1));
     expect_that!(change, eq(StageChange::Entered(TrialStage::TakenBack)));
     expect_that!(trial.sends_next_to_target(), eq(false));
@@ -212,7 +216,7 @@
         trial.record(true, true);
     }
     let later = now + Duration::from_secs(12);
-    let moved = TrialCount { moved: true, ..TrialCount::default() };
+    let moved = TrialCount { stage: TrialStage::Moved, ..TrialCount::default() };
     let busy = TrialCount { other_running: 3, ..moved.clone() };
     expect_that!(
         trial.evaluate(2, &peers(&busy), 2, later),
@@ -221,8 +225,102 @@
     expect_that!(trial.evaluate(0, &peers(&busy), 2, later), eq(StageChange::Unchanged));
     expect_that!(
         trial.evaluate(0, &peers(&moved), 2, later),
-        eq(StageChange::Entered(TrialStage::Done))
+        eq(StageChange::Entered(TrialStage::Completing))
     );
+    expect_that!(trial.take_record_request(later), some(eq(TrialStage::Done)));
+}
+
+/// Guards against routers that end one move in contrary ways: only a record in the store ends it.
+#[gtest]
+fn evaluate_completing_fault_takes_back_unless_recorded() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    for _ in 0..100 {
+        trial.record(false, true);
+        trial.record(true, true);
+    }
+    let late = now + Duration::from_secs(19);
+    trial.evaluate(0, &IndexMap::new(), 1, late);
+    trial.evaluate(0, &IndexMap::new(), 1, late);
+    expect_that!(trial.stage(), eq(TrialStage::Completing));
+    let mut recorded = trial.clone();
+    recorded.apply_recorded(TrialStage::Done);
+    for trial in [&mut trial, &mut recorded] {
+        (0..100).for_each(|_| trial.record(true, false));
+    }
+    trial.evaluate(0, &IndexMap::new(), 1, late);
+    expect_that!(trial.stage(), eq(TrialStage::TakenBack));
+    expect_that!(trial.take_record_request(late), some(eq(TrialStage::TakenBack)));
+    recorded.evaluate(0, &IndexMap::new(), 1, late);
+    expect_that!(recorded.stage(), eq(TrialStage::Done));
+    expect_that!(recorded.take_record_request(late), none());
+}
+
+/// Guards against a router that keeps its own decision when the store has recorded the contrary one
+/// first: it would refuse all calls once the other version's upstreams are gone.
+#[gtest]
+fn apply_recorded_goes_before_own_decision() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    (0..20).for_each(|_| trial.record(true, false));
+    trial.evaluate(5, &IndexMap::new(), 1, now);
+    expect_that!(trial.stage(), eq(TrialStage::TakenBack));
+    let change = trial.apply_recorded(TrialStage::Done);
+    expect_that!(change, eq(StageChange::Entered(TrialStage::Done)));
+    expect_that!(trial.sends_next_to_target(), eq(true));
+}
+
+/// Guards against calls to a version whose fault another router has found, or whose end only
+/// another router has read from the store.
+#[gtest]
+fn evaluate_follows_peer() {
+    let now = Instant::now();
+    for (stage, is_recorded) in
+        [(TrialStage::TakenBack, false), (TrialStage::TakenBack, true), (TrialStage::Done, true)]
+    {
+        let mut trial = trial(now);
+        let seen = TrialCount { stage, is_recorded, ..TrialCount::default() };
+        trial.evaluate(5, &peers(&seen), 2, now);
+        expect_that!(trial.stage(), eq(stage));
+        expect_that!(trial.is_recorded(), eq(is_recorded));
+    }
+}
+
+/// Guards against a router that sends to a version before it has read whether it was taken back.
+#[gtest]
+fn sends_next_to_target_unread_record_is_false() {
+    let now = Instant::now();
+    let mut trial = VersionTrial::new(trial(now).order().clone(), now);
+    expect_that!((0..100).any(|_| trial.sends_next_to_target()), eq(false));
+    expect_that!(trial.take_record_request(now), some(eq(TrialStage::Trial)));
+    expect_that!(trial.take_record_request(now + Duration::from_millis(100)), none());
+    expect_that!(trial.take_record_request(now + Duration::from_millis(600)), some(anything()));
+    trial.apply_recorded(TrialStage::Trial);
+    expect_that!((0..100).any(|_| trial.sends_next_to_target()), eq(true));
+}
+
+/// Guards against a move that misses its deadline because a router started during it and counts the
+/// time from its own start.
+#[gtest]
+fn evaluate_started_late_takes_age_of_peer() {
+    let now = Instant::now();
+    let mut trial = trial(now);
+    let answers = VersionAnswers { target_good: 60, other_good: 900, ..VersionAnswers::default() };
+    let age = Duration::from_secs(12);
+    let seen = TrialCount { stage: TrialStage::Moved, age, answers, ..TrialCount::default() };
+    trial.evaluate(5, &peers(&seen), 2, now);
+    expect_that!(trial.stage(), eq(TrialStage::Moved));
+}
+
+/// Guards against counts of another order, with the same or another target, deciding a move.
+#[gtest]
+fn matches_other_order_is_false() {
+    let now = Instant::now();
+    let trial = trial(now);
+    let own = trial.report(0, now);
+    expect_that!(trial.matches(&own), eq(true));
+    expect_that!(trial.matches(&TrialCount { order: 6, ..own.clone() }), eq(false));
+    expect_that!(trial.matches(&TrialCount { target: "v1".into(), ..own }), eq(false));
 }
 
 /// Guards against a router's own evaluation undoing a recorded final stage.
