Load the target of a version move before it gets all calls, and observe it before the end

Cause: a twentieth of the calls, spread over all upstreams of the target, loads none of them, so a fault under load cannot show in the trial; and a move ended as soon as no old call ran, two ticks after the promotion with short streams.

Change: the trial loads as few upstreams as its share fills, in pulses that load them as after the move, a twentieth on average; a move is not completed before 0.85 of its duration.

Evidence: simulated fleets in version_load, which need no network.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -11,7 +11,7 @@
 use super::fleet_demand::FleetDemand;
 use super::load::UpstreamLoad;
 use super::part_suspects::{PartSuspects, PartVerdict};
-use super::peers::{PeerLoad, PeerReport, PeerTable, TrialCount};
+use super::peers::{PeerLoad, PeerReport, PeerTable};
 use super::stream_pace::StreamPace;
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_usage::FairLevel;
@@ -148,16 +148,6 @@
         self.peers.set_members(members);
     }
 
-    /// Returns the version moves in progress.
-    pub fn trials_mut(&mut self) -> &mut IndexMap<ServiceId, VersionTrial> {
-        &mut self.trials
-    }
-
-    /// Returns the version move of a service.
-    pub fn trial(&self, service: &ServiceId) -> Option<&VersionTrial> {
-        self.trials.get(service)
-    }
-
     /// Returns the number of upstreams that leave or pause by their own statement.
     pub fn left_out(&self, now: Instant) -> usize {
         self.notices.left_out_count(now)
@@ -251,24 +241,7 @@
         self.demand.fill_report(report, now);
         report.suspects = self.suspects.report();
         report.parts = self.part_suspects.report(now);
-        report.trials = self
-            .trials
-            .iter()
-            .map(|(service, trial)| {
-                trial.report(self.running_at_other_versions(service, trial), now)
-            })
-            .collect();
-    }
-
-    /// Returns this router's calls in progress at versions other than the target of a move.
-    pub fn running_at_other_versions(&self, service: &ServiceId, trial: &VersionTrial) -> u32 {
-        self.upstreams
-            .values()
-            .filter(|load| {
-                load.entry.service == *service && load.entry.version != trial.order().target
-            })
-            .map(|load| load.own.running)
-            .sum()
+        report.trials = self.report_trials(now);
     }
 
     /// Adds a pending call; [`Self::dispatch`] decides about it.
@@ -488,18 +461,3 @@
         grant
     }
 }
-
-/// Returns the counts of the routers that take part in the same version move.
-pub fn trial_counts(
-    peers: &PeerTable,
-    trial: &VersionTrial,
-    now: Instant,
-) -> IndexMap<NodeId, TrialCount> {
-    peers
-        .trials(now)
-        .filter_map(|(node, counts)| {
-            let count = counts.iter().find(|count| trial.matches(count))?;
-            Some((Arc::clone(node), count.clone()))
-        })
-        .collect()
-}
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -28,8 +28,10 @@
 mod sustainable_rate;
 mod team_usage;
 mod team_work;
+mod trial_load;
 mod upstream_notices;
 mod version_evidence;
+mod version_moves;
 mod version_trial;
 mod view_freshness;
 mod waiting;
@@ -42,7 +44,7 @@
 pub use call_cost::CostEstimate;
 pub use capacity::FleetBounds;
 pub use cold_limiter::ColdLimiter;
-pub use dispatcher::{DirectDispatcher, trial_counts};
+pub use dispatcher::DirectDispatcher;
 pub use drain_schedule::{DrainSchedule, PlannedSend};
 pub use handoff::{HandoffOffer, HandoffTargets};
 pub use load::UpstreamLoad;
@@ -57,10 +59,12 @@
 pub use suspects::SuspectList;
 pub use team_usage::{FairLevel, TeamDemand, TeamUsage};
 pub use team_work::{ShedCall, TeamWork, WorkCount};
+pub use trial_load::TrialLoad;
 pub use upstream_notices::{
     MAX_PAUSE, NoticedUpstream, UpstreamNotice, UpstreamNotices, UpstreamStart,
 };
 pub use version_evidence::VersionAnswers;
+pub use version_moves::MoveStep;
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
 pub use view_freshness::ViewFreshness;
 pub use window::{RetryBudget, SlidingCounter};
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -19,31 +19,39 @@
     /// Returns the upstreams that are considered for a call.
     pub(super) fn candidates(&mut self, call: &PendingCall, now: Instant) -> CandidateSet {
         let usable = self.usable_upstreams(call, now);
+        let (of_target, others) = self.split_by_version(call, usable);
+        if let Some(candidates) = self.trial_candidates(call, &of_target, now) {
+            return candidates;
+        }
+        let usable = self.choose_version(call, of_target, others);
+        let usable = self.prefer_untried(call, usable, now);
         CandidateSet::for_call(call, &self.upstreams, &usable)
     }
 
     /// Returns the indices of the upstreams that may run the call, whatever their load.
-    fn usable_upstreams(&mut self, call: &PendingCall, now: Instant) -> Vec<usize> {
-        let candidates: Vec<usize> = self
-            .upstreams
+    fn usable_upstreams(&self, call: &PendingCall, now: Instant) -> Vec<usize> {
+        self.upstreams
             .iter()
             .enumerate()
             .filter(|(_, (id, load))| {
                 self.may_run(call, load) && !self.notices.is_left_out(id, load.entry.started, now)
             })
             .map(|(index, _)| index)
-            .collect();
-        let candidates = self.filter_by_version(call, candidates);
-        let untried: Vec<usize> = candidates
-            .iter()
-            .copied()
-            .filter(|index| {
-                self.upstreams
-                    .get_index(*index)
-                    .is_some_and(|(id, load)| !call.tried.contains(id) && !load.is_backing_off(now))
-            })
-            .collect();
-        if untried.is_empty() && call.charge != BudgetCharge::Retry { candidates } else { untried }
+            .collect()
+    }
+
+    /// Keeps the upstreams that have not run the call and do not back off, if there are any. A retry
+    /// goes to no others.
+    fn prefer_untried(&self, call: &PendingCall, usable: Vec<usize>, now: Instant) -> Vec<usize> {
+        let untried: Vec<usize> =
+            usable.iter().copied().filter(|index| self.is_untried(call, *index, now)).collect();
+        if untried.is_empty() && call.charge != BudgetCharge::Retry { usable } else { untried }
+    }
+
+    fn is_untried(&self, call: &PendingCall, index: usize, now: Instant) -> bool {
+        self.upstreams
+            .get_index(index)
+            .is_some_and(|(id, load)| !call.tried.contains(id) && !load.is_backing_off(now))
     }
 
     /// Returns whether an upstream may run a call, by what the store says of both.
@@ -86,24 +94,56 @@
         self.regions.get(data_centre).is_some_and(|region| homes.contains(region))
     }
 
-    /// Keeps the upstreams of the version to which a move assigns the call.
-    fn filter_by_version(&mut self, call: &PendingCall, candidates: Vec<usize>) -> Vec<usize> {
-        let Some(trial) = self.trials.get_mut(&call.service) else {
-            return candidates;
+    /// Separates the upstreams of the version that the call's service moves to from the others.
+    fn split_by_version(&self, call: &PendingCall, usable: Vec<usize>) -> (Vec<usize>, Vec<usize>) {
+        let Some(trial) = self.trials.get(&call.service) else {
+            return (Vec::new(), usable);
+        };
+        let target = &trial.order().target;
+        usable.into_iter().partition(|index| self.upstreams[*index].entry.version == *target)
+    }
+
+    /// Returns the candidates of a call that a trial sends to the target. Without capacity there,
+    /// the call is left to the other version.
+    fn trial_candidates(
+        &mut self,
+        call: &PendingCall,
+        of_target: &[usize],
+        now: Instant,
+    ) -> Option<CandidateSet> {
+        let trial = self.trials.get_mut(&call.service)?;
+        let load = trial.trial_load(of_target.len(), now)?;
+        let order = trial.order().revision;
+        if !trial.count_call(load) {
+            return None;
+        }
+        let mut loaded = of_target.to_vec();
+        // All routers load the same upstreams.
+        loaded.sort_by_key(|index| std::cmp::Reverse(self.upstreams[*index].affinity(order)));
+        loaded.truncate(load.upstreams);
+        loaded.retain(|index| self.is_untried(call, *index, now));
+        let candidates = CandidateSet::for_call(call, &self.upstreams, &loaded);
+        self.select_upstream(call, &candidates, now, now)?;
+        self.trials.get_mut(&call.service)?.record_target_call();
+        Some(candidates)
+    }
+
+    /// Returns the upstreams of the version to which a move assigns a call outside its trial.
+    fn choose_version(
+        &self,
+        call: &PendingCall,
+        of_target: Vec<usize>,
+        others: Vec<usize>,
+    ) -> Vec<usize> {
+        let Some(trial) = self.trials.get(&call.service) else {
+            return others;
         };
-        let target = Arc::clone(&trial.order().target);
-        let (of_target, others): (Vec<usize>, Vec<usize>) = candidates
-            .into_iter()
-            .partition(|index| self.upstreams[*index].entry.version == target);
         if of_target.is_empty() {
             return others;
         }
         // What was not moved or taken back goes on where it can.
         let is_open = matches!(trial.stage(), TrialStage::Unread | TrialStage::Trial);
-        if others.is_empty() && is_open {
-            return of_target;
-        }
-        if trial.sends_next_to_target() { of_target } else { others }
+        if trial.sends_to_target() || (others.is_empty() && is_open) { of_target } else { others }
     }
 
     /// Returns the upstream with the lowest cost among those with capacity, and the prompt tokens
--- /dev/null
+++ b/src/decision/direct/version_moves.rs
@@ -0,0 +1,123 @@
+//! Evaluates the version moves of a router's services.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::dispatcher::DirectDispatcher;
+use super::peers::{PeerTable, TrialCount};
+use super::version_evidence::VersionAnswers;
+use super::version_trial::{StageChange, TrialStage, VersionTrial};
+use crate::ids::{NodeId, ServiceId, StoreRevision};
+use crate::routing::MoveOrder;
+
+/// Outcome of one evaluation of a version move.
+#[derive(Clone, Debug)]
+pub struct MoveStep {
+    /// Order of the move.
+    pub order: MoveOrder,
+    /// Change of its stage.
+    pub change: StageChange,
+    /// Whether the store's record decided the stage.
+    pub is_recorded: bool,
+    /// Routers whose answers were counted.
+    pub routers: usize,
+    /// Answers that these routers received.
+    pub answers: VersionAnswers,
+    /// Stage that the store should record.
+    pub request: Option<TrialStage>,
+}
+
+impl DirectDispatcher {
+    /// Evaluates all version moves.
+    pub fn evaluate_moves(&mut self, now: Instant) -> Vec<MoveStep> {
+        let routers = self.peers.router_count(now);
+        let services: Vec<ServiceId> = self.trials.keys().cloned().collect();
+        services
+            .iter()
+            .filter_map(|service| {
+                let other_running = self.running_at_other_versions(service, &self.trials[service]);
+                let trial = self.trials.get_mut(service)?;
+                let counts = trial_counts(&self.peers, trial, now);
+                let change = trial.evaluate(other_running, &counts, routers, now);
+                let request = trial.take_record_request(now);
+                Some(describe_step(trial, change, &counts, request))
+            })
+            .collect()
+    }
+
+    /// Applies the stage that the store records for an order; `None` if it is not in force.
+    pub fn apply_move_record(
+        &mut self,
+        service: &ServiceId,
+        order: StoreRevision,
+        stage: TrialStage,
+        now: Instant,
+    ) -> Option<MoveStep> {
+        let trial = self.trials.get_mut(service)?;
+        if trial.order().revision != order {
+            return None;
+        }
+        let change = trial.apply_recorded(stage);
+        let counts = trial_counts(&self.peers, trial, now);
+        Some(describe_step(trial, change, &counts, None))
+    }
+
+    /// Returns the version move of a service.
+    pub fn trial(&self, service: &ServiceId) -> Option<&VersionTrial> {
+        self.trials.get(service)
+    }
+
+    /// Returns this router's counts of all version moves, for the report to peers.
+    pub(super) fn report_trials(&self, now: Instant) -> Vec<TrialCount> {
+        self.trials
+            .iter()
+            .map(|(service, trial)| {
+                trial.report(self.running_at_other_versions(service, trial), now)
+            })
+            .collect()
+    }
+
+    /// Returns this router's calls in progress at versions other than the target of a move.
+    fn running_at_other_versions(&self, service: &ServiceId, trial: &VersionTrial) -> u32 {
+        self.upstreams
+            .values()
+            .filter(|load| {
+                load.entry.service == *service && load.entry.version != trial.order().target
+            })
+            .map(|load| load.own.running)
+            .sum()
+    }
+}
+
+fn describe_step(
+    trial: &VersionTrial,
+    change: StageChange,
+    counts: &IndexMap<NodeId, TrialCount>,
+    request: Option<TrialStage>,
+) -> MoveStep {
+    MoveStep {
+        order: trial.order().clone(),
+        change,
+        is_recorded: trial.is_recorded(),
+        routers: counts.len() + 1,
+        answers: trial.total_answers(counts),
+        request,
+    }
+}
+
+/// Returns the counts of the routers that take part in the same version move.
+fn trial_counts(
+    peers: &PeerTable,
+    trial: &VersionTrial,
+    now: Instant,
+) -> IndexMap<NodeId, TrialCount> {
+    peers
+        .trials(now)
+        .filter_map(|(node, counts)| {
+            let count = counts.iter().find(|count| trial.matches(count))?;
+            Some((Arc::clone(node), count.clone()))
+        })
+        .collect()
+}
--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -1,5 +1,6 @@
 //! Trial of a version move (a canary release): the target version gets a small share of the calls
-//! first, then all of them, and none once it proves faulty.
+//! first, then all of them, and none once it proves faulty. The move is complete only after the
+//! target has had all calls for a while, since the other version's upstreams stop then.
 //!
 //! Every router counts the answers that it receives and adds the counts of its peers. Each one
 //! evaluates the sum by itself, so that all stop using a bad version at once. Their sums differ by
@@ -12,16 +13,18 @@
 use serde::{Deserialize, Serialize};
 
 use super::peers::TrialCount;
+use super::trial_load::TrialLoad;
 use super::version_evidence::VersionAnswers;
 use crate::ids::NodeId;
 use crate::routing::MoveOrder;
 
-/// Share of the service's calls that the target gets in the trial stage.
-const TRIAL_SHARE: f64 = 0.05;
-
 /// Fraction of the move's duration after which a target without a fault gets all calls.
 const PROMOTION_FRACTION: f64 = 0.55;
 
+/// Fraction of the move's duration up to which a target that gets all calls is observed before the
+/// move is completed.
+const OBSERVED_FRACTION: f64 = 0.85;
+
 /// Fraction of the move's duration after which the move is completed although calls still run at
 /// other versions.
 const COMPLETION_FRACTION: f64 = 0.93;
@@ -29,6 +32,9 @@
 /// Fewest answers of the target that allow to promote it.
 const MIN_ANSWERS: u32 = 20;
 
+/// Most calls of the trial that are made up for after the target had no capacity.
+const MAX_DUE_CALLS: f64 = 2.0;
+
 /// Pause before a record that the store has not confirmed is requested again.
 const RECORD_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -91,8 +97,8 @@
     /// Last requested record, and when it was requested.
     requested: Option<(TrialStage, Instant)>,
     answers: VersionAnswers,
-    calls: u64,
-    target_calls: u64,
+    /// Calls that the target is due, in the trial; a call adds the target's share.
+    due_calls: f64,
 }
 
 impl VersionTrial {
@@ -105,8 +111,7 @@
             is_recorded: false,
             requested: None,
             answers: VersionAnswers::default(),
-            calls: 0,
-            target_calls: 0,
+            due_calls: 0.0,
         }
     }
 
@@ -138,18 +143,26 @@
         StageChange::Unchanged
     }
 
-    /// Returns whether the next call goes to the target, and counts it.
-    pub fn sends_next_to_target(&mut self) -> bool {
-        match self.stage {
-            TrialStage::Moved | TrialStage::Completing | TrialStage::Done => true,
-            TrialStage::Unread | TrialStage::TakenBack => false,
-            TrialStage::Trial => {
-                self.calls += 1;
-                let due = (self.target_calls as f64) < TRIAL_SHARE * self.calls as f64;
-                self.target_calls += u64::from(due);
-                due
-            }
-        }
+    /// Returns the load of the target, which has so many usable upstreams; `None` outside the trial.
+    pub fn trial_load(&self, usable: usize, now: Instant) -> Option<TrialLoad> {
+        let is_trial = self.stage == TrialStage::Trial;
+        is_trial.then(|| TrialLoad::at(self.elapsed_fraction(now), usable))
+    }
+
+    /// Counts a call of the trial; returns whether it is due to go to the target.
+    pub fn count_call(&mut self, load: TrialLoad) -> bool {
+        self.due_calls = (self.due_calls + load.share).min(MAX_DUE_CALLS);
+        self.due_calls >= 1.0
+    }
+
+    /// Records that a call of the trial goes to the target.
+    pub fn record_target_call(&mut self) {
+        self.due_calls -= 1.0;
+    }
+
+    /// Returns whether calls outside the trial go to the target.
+    pub fn sends_to_target(&self) -> bool {
+        self.stage.is_moved()
     }
 
     /// Counts an answer of the target or of another version.
@@ -219,7 +232,8 @@
                     && peers.values().all(|count| count.stage.is_moved());
                 let drained =
                     other_running == 0 && peers.values().all(|count| count.other_running == 0);
-                if all_moved && (drained || elapsed >= COMPLETION_FRACTION) {
+                let observed = elapsed >= OBSERVED_FRACTION;
+                if all_moved && ((drained && observed) || elapsed >= COMPLETION_FRACTION) {
                     TrialStage::Completing
                 } else {
                     TrialStage::Moved
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -20,7 +20,7 @@
 use super::work_log::WorkLog;
 use crate::decision::direct::{
     CallDecision, CallOutcome, DirectDispatcher, HandoffOffer, PeerReport, ReceivedLoad,
-    TrialStage, ViewFreshness, trial_counts,
+    TrialStage, ViewFreshness,
 };
 use crate::ids::{CallId, GrantId, Incarnation, NodeId, StoreRevision};
 use crate::routing::{FleetView, MoveOrder, RouteTable, ViewChange, ViewPart};
@@ -199,7 +199,11 @@
             }
             ControlEvent::Report(report) => self.dispatcher.record_report(*report, now),
             ControlEvent::Members(members) => self.update_members(members),
-            ControlEvent::MoveRecorded(record) => self.apply_move_record(&record),
+            ControlEvent::MoveRecorded(record) => {
+                let MoveRecord { service, order, stage, .. } = record;
+                let step = self.dispatcher.apply_move_record(&service, order, stage, now);
+                step.iter().for_each(log_stage);
+            }
             ControlEvent::ShuttingDown => self.leaving = true,
         }
     }
@@ -378,20 +382,11 @@
     }
 
     fn evaluate_moves(&mut self, now: Instant) {
-        let routers = self.dispatcher.peers().router_count(now);
-        let services: Vec<_> = self.dispatcher.trials_mut().keys().cloned().collect();
-        for service in services {
-            let Some(mut trial) = self.dispatcher.trials_mut().shift_remove(&service) else {
-                continue;
-            };
-            let counts = trial_counts(self.dispatcher.peers(), &trial, now);
-            let other_running = self.dispatcher.running_at_other_versions(&service, &trial);
-            let change = trial.evaluate(other_running, &counts, routers, now);
-            log_stage(&trial, change, &counts);
-            if let Some(stage) = trial.take_record_request(now) {
-                self.request_record(trial.order(), stage);
+        for step in self.dispatcher.evaluate_moves(now) {
+            log_stage(&step);
+            if let Some(stage) = step.request {
+                self.request_record(&step.order, stage);
             }
-            self.dispatcher.trials_mut().insert(service, trial);
         }
     }
 
@@ -412,18 +407,6 @@
         }
     }
 
-    fn apply_move_record(&mut self, record: &MoveRecord) {
-        let Some(trial) = self.dispatcher.trials_mut().get_mut(&record.service) else { return };
-        if trial.order().target != record.target || trial.order().revision != record.order {
-            return;
-        }
-        let change = trial.apply_recorded(record.stage);
-        if let Some(trial) = self.dispatcher.trial(&record.service) {
-            let counts = trial_counts(self.dispatcher.peers(), trial, Instant::now());
-            log_stage(trial, change, &counts);
-        }
-    }
-
     fn dispatch(&mut self) {
         for (call, decision) in self.dispatcher.dispatch(Instant::now()) {
             let Some(reply) = self.replies.swap_remove(&call) else {
--- a/src/gateway/decision_log.rs
+++ b/src/gateway/decision_log.rs
@@ -1,25 +1,20 @@
 //! Log lines of decisions about upstreams, parts of prompts and version moves.
 
 use http::StatusCode;
-use indexmap::IndexMap;
 
 use crate::decision::direct::{
-    NoticedUpstream, PartVerdict, StageChange, TrialCount, UpstreamNotice, VersionTrial,
+    MoveStep, NoticedUpstream, PartVerdict, StageChange, UpstreamNotice,
 };
-use crate::ids::{CallId, NodeId};
+use crate::ids::CallId;
 
 /// Logs that a version move entered another stage, with the answers that all routers counted.
-pub(super) fn log_stage(
-    trial: &VersionTrial,
-    change: StageChange,
-    peers: &IndexMap<NodeId, TrialCount>,
-) {
-    let StageChange::Entered(stage) = change else { return };
-    let order = trial.order();
+pub(super) fn log_stage(step: &MoveStep) {
+    let StageChange::Entered(stage) = step.change else { return };
+    let order = &step.order;
     log::info!(
         service = &*order.service, target = &*order.target, order = order.revision,
-        stage:% = stage, recorded = trial.is_recorded(), routers = peers.len() + 1,
-        answers:% = trial.total_answers(peers); "version move entered a stage"
+        stage:% = stage, recorded = step.is_recorded, routers = step.routers,
+        answers:% = step.answers; "version move entered a stage"
     );
 }
 
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -37,6 +37,19 @@
     trial
 }
 
+/// Time between two calls of a trial that sees 1,000 calls in about half of its duration.
+const TRIAL_STEP: Duration = Duration::from_millis(10);
+
+/// Returns whether the next call goes to the target, which has capacity.
+fn sends_next(trial: &mut VersionTrial, upstreams: usize, now: Instant) -> bool {
+    let Some(load) = trial.trial_load(upstreams, now) else { return trial.sends_to_target() };
+    let is_due = trial.count_call(load);
+    if is_due {
+        trial.record_target_call();
+    }
+    is_due
+}
+
 fn peers(count: &TrialCount) -> IndexMap<NodeId, TrialCount> {
     IndexMap::from([(NodeId::from("router-2"), count.clone())])
 }
@@ -171,10 +184,15 @@
 /// Guards against more than a small share of calls to a target that has not been evaluated.
 #[gtest]
 fn sends_next_to_target_small_share() {
-    let mut trial = trial(Instant::now());
-    let sent = (0..1_000).filter(|_| trial.sends_next_to_target()).count();
-    // The users' bound is a tenth of the calls.
-    assert_that!(sent, all!(ge(20), le(100)));
+    let start = Instant::now();
+    for upstreams in 1..60 {
+        let mut trial = trial(start);
+        let sent = (0..1_000)
+            .filter(|number| sends_next(&mut trial, upstreams, start + TRIAL_STEP * *number))
+            .count();
+        // The users' bound is a tenth of the calls.
+        expect_that!(sent, all!(ge(20), le(100)), "{upstreams} upstreams");
+    }
 }
 
 /// Guards against calls to a target after its fault shows, even if other routers saw most of it.
@@ -189,7 +207,7 @@
     let seen = TrialCount { answers, ..TrialCount::default() };
     let change = trial.evaluate(5, &peers(&seen), 2, now + Duration::from_secs(1));
     expect_that!(change, eq(StageChange::Entered(TrialStage::TakenBack)));
-    expect_that!(trial.sends_next_to_target(), eq(false));
+    expect_that!((0..100).any(|_| sends_next(&mut trial, 12, now)), eq(false));
 }
 
 /// Guards against a good target being taken back for failures that all versions have.
@@ -216,18 +234,21 @@
         trial.record(true, true);
     }
     let later = now + Duration::from_secs(12);
+    let observed = now + Duration::from_secs(17);
     let moved = TrialCount { stage: TrialStage::Moved, ..TrialCount::default() };
     let busy = TrialCount { other_running: 3, ..moved.clone() };
     expect_that!(
         trial.evaluate(2, &peers(&busy), 2, later),
         eq(StageChange::Entered(TrialStage::Moved))
     );
-    expect_that!(trial.evaluate(0, &peers(&busy), 2, later), eq(StageChange::Unchanged));
+    // The target has not had all calls for long.
+    expect_that!(trial.evaluate(0, &peers(&moved), 2, later), eq(StageChange::Unchanged));
+    expect_that!(trial.evaluate(0, &peers(&busy), 2, observed), eq(StageChange::Unchanged));
     expect_that!(
-        trial.evaluate(0, &peers(&moved), 2, later),
+        trial.evaluate(0, &peers(&moved), 2, observed),
         eq(StageChange::Entered(TrialStage::Completing))
     );
-    expect_that!(trial.take_record_request(later), some(eq(TrialStage::Done)));
+    expect_that!(trial.take_record_request(observed), some(eq(TrialStage::Done)));
 }
 
 /// Guards against routers that end one move in contrary ways: only a record in the store ends it.
@@ -267,7 +288,7 @@
     expect_that!(trial.stage(), eq(TrialStage::TakenBack));
     let change = trial.apply_recorded(TrialStage::Done);
     expect_that!(change, eq(StageChange::Entered(TrialStage::Done)));
-    expect_that!(trial.sends_next_to_target(), eq(true));
+    expect_that!(trial.sends_to_target(), eq(true));
 }
 
 /// Guards against calls to a version whose fault another router has found, or whose end only
@@ -291,12 +312,12 @@
 fn sends_next_to_target_unread_record_is_false() {
     let now = Instant::now();
     let mut trial = VersionTrial::new(trial(now).order().clone(), now);
-    expect_that!((0..100).any(|_| trial.sends_next_to_target()), eq(false));
+    expect_that!((0..100).any(|_| sends_next(&mut trial, 12, now)), eq(false));
     expect_that!(trial.take_record_request(now), some(eq(TrialStage::Trial)));
     expect_that!(trial.take_record_request(now + Duration::from_millis(100)), none());
     expect_that!(trial.take_record_request(now + Duration::from_millis(600)), some(anything()));
     trial.apply_recorded(TrialStage::Trial);
-    expect_that!((0..100).any(|_| trial.sends_next_to_target()), eq(true));
+    expect_that!((0..100).any(|_| sends_next(&mut trial, 12, now)), eq(true));
 }
 
 /// Guards against a move that misses its deadline because a router started during it and counts the
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,5 +44,6 @@
 mod tls;
 mod trace;
 mod upstream_notices;
+mod version_load;
 mod version_move;
 mod view_freshness;
