Look at the answers of each route when a version is moved to

Cause: the evidence was one sum over all routes, and the tolerated share of bad answers is larger than what a route with 16 in 100 of the calls adds to it.

Change: the same test for each route; routers report their counts by route. Recent answers are counted and logged, too.

--- a/src/decision/direct/call_progress.rs
+++ b/src/decision/direct/call_progress.rs
@@ -9,6 +9,7 @@
 use super::stated_load::ReceivedLoad;
 use super::stream_pace::EndedStream;
 use super::upstream_notices::{NoticedUpstream, UpstreamNotice};
+use super::version_evidence::AnswerQuality;
 use super::waiting::ChangedUpstreams;
 use crate::decision::quarantine::crash_id;
 use crate::ids::{GrantId, UpstreamId};
@@ -135,8 +136,13 @@
                     | CallOutcome::Misdirected
             );
             if counted {
-                let good = outcome == CallOutcome::Completed && !late;
-                trial.record(load.entry.version == trial.order().target, good);
+                let quality = match outcome {
+                    CallOutcome::Completed if late => AnswerQuality::Late,
+                    CallOutcome::Completed => AnswerQuality::Good,
+                    _ => AnswerQuality::Failed,
+                };
+                let of_target = load.entry.version == trial.order().target;
+                trial.record(&call.route, of_target, quality, now);
             }
         }
         let down = load.record_outcome(outcome, now);
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -9,7 +9,7 @@
 use super::handoff::HandoffOffer;
 use super::part_evidence::{PartReport, ReceivedPart};
 use super::team_usage::{TeamDemand, TeamUsage};
-use super::version_evidence::VersionAnswers;
+use super::version_evidence::MoveEvidence;
 use super::version_trial::TrialStage;
 use crate::ids::{
     CallFingerprint, Incarnation, NodeId, ServiceId, StoreRevision, TeamId, UpstreamId, VersionId,
@@ -79,7 +79,7 @@
     /// Calls in progress at other versions.
     pub other_running: u32,
     /// Answers that this router received.
-    pub answers: VersionAnswers,
+    pub evidence: MoveEvidence,
 }
 
 /// Report that a router sends to its peers several times a second. It is encoded as a sequence, so
--- a/src/decision/direct/version_moves.rs
+++ b/src/decision/direct/version_moves.rs
@@ -7,7 +7,7 @@
 
 use super::dispatcher::DirectDispatcher;
 use super::peers::{PeerTable, TrialCount};
-use super::version_evidence::VersionAnswers;
+use super::version_evidence::MoveEvidence;
 use super::version_trial::{StageChange, TrialStage, VersionTrial};
 use crate::ids::{NodeId, ServiceId, StoreRevision};
 use crate::routing::MoveOrder;
@@ -24,7 +24,7 @@
     /// Routers whose answers were counted.
     pub routers: usize,
     /// Answers that these routers received.
-    pub answers: VersionAnswers,
+    pub evidence: MoveEvidence,
     /// Stage that the store should record.
     pub request: Option<TrialStage>,
 }
@@ -42,7 +42,7 @@
                 let counts = trial_counts(&self.peers, trial, now);
                 let change = trial.evaluate(other_running, &counts, routers, now);
                 let request = trial.take_record_request(now);
-                Some(describe_step(trial, change, &counts, request))
+                Some(describe_step(trial, change, &counts, request, now))
             })
             .collect()
     }
@@ -61,7 +61,7 @@
         }
         let change = trial.apply_recorded(stage);
         let counts = trial_counts(&self.peers, trial, now);
-        Some(describe_step(trial, change, &counts, None))
+        Some(describe_step(trial, change, &counts, None, now))
     }
 
     /// Returns the version move of a service.
@@ -70,13 +70,14 @@
     }
 
     /// Returns this router's counts of all version moves, for the report to peers.
-    pub(super) fn report_trials(&self, now: Instant) -> Vec<TrialCount> {
-        self.trials
+    pub(super) fn report_trials(&mut self, now: Instant) -> Vec<TrialCount> {
+        let running: Vec<u32> = self
+            .trials
             .iter()
-            .map(|(service, trial)| {
-                trial.report(self.running_at_other_versions(service, trial), now)
-            })
-            .collect()
+            .map(|(service, trial)| self.running_at_other_versions(service, trial))
+            .collect();
+        let trials = self.trials.values_mut().zip(running);
+        trials.map(|(trial, other_running)| trial.report(other_running, now)).collect()
     }
 
     /// Returns this router's calls in progress at versions other than the target of a move.
@@ -92,17 +93,18 @@
 }
 
 fn describe_step(
-    trial: &VersionTrial,
+    trial: &mut VersionTrial,
     change: StageChange,
     counts: &IndexMap<NodeId, TrialCount>,
     request: Option<TrialStage>,
+    now: Instant,
 ) -> MoveStep {
     MoveStep {
         order: trial.order().clone(),
         change,
         is_recorded: trial.is_recorded(),
         routers: counts.len() + 1,
-        answers: trial.total_answers(counts),
+        evidence: trial.total_evidence(counts, now),
         request,
     }
 }
--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -14,8 +14,8 @@
 
 use super::peers::TrialCount;
 use super::trial_load::TrialLoad;
-use super::version_evidence::VersionAnswers;
-use crate::ids::NodeId;
+use super::version_evidence::{AnswerQuality, EvidenceCounter, MoveEvidence};
+use crate::ids::{NodeId, RouteId};
 use crate::routing::MoveOrder;
 
 /// Fraction of the move's duration after which a target without a fault gets all calls.
@@ -96,7 +96,7 @@
     is_recorded: bool,
     /// Last requested record, and when it was requested.
     requested: Option<(TrialStage, Instant)>,
-    answers: VersionAnswers,
+    evidence: EvidenceCounter,
     /// Calls that the target is due, in the trial; a call adds the target's share.
     due_calls: f64,
 }
@@ -110,7 +110,7 @@
             stage: TrialStage::Unread,
             is_recorded: false,
             requested: None,
-            answers: VersionAnswers::default(),
+            evidence: EvidenceCounter::new(),
             due_calls: 0.0,
         }
     }
@@ -166,12 +166,23 @@
     }
 
     /// Counts an answer of the target or of another version.
-    pub fn record(&mut self, of_target: bool, good: bool) {
-        self.answers.record(of_target, good);
+    pub fn record(
+        &mut self,
+        route: &RouteId,
+        of_target: bool,
+        quality: AnswerQuality,
+        now: Instant,
+    ) {
+        if !self.is_recorded {
+            self.evidence.record(route, of_target, quality, now);
+        }
     }
 
     /// Returns this router's counts, for the report to peers.
-    pub fn report(&self, other_running: u32, now: Instant) -> TrialCount {
+    pub fn report(&mut self, other_running: u32, now: Instant) -> TrialCount {
+        // Peers need no evidence about a move whose end is recorded.
+        let evidence =
+            if self.is_recorded { MoveEvidence::default() } else { self.evidence.evidence(now) };
         TrialCount {
             service: self.order.service.clone(),
             target: self.order.target.clone(),
@@ -180,7 +191,7 @@
             is_recorded: self.is_recorded,
             age: now.saturating_duration_since(self.ordered_at),
             other_running,
-            answers: self.answers,
+            evidence,
         }
     }
 
@@ -191,11 +202,15 @@
             && count.order == self.order.revision
     }
 
-    /// Returns the answers that this router and its peers received.
-    pub fn total_answers(&self, peers: &IndexMap<NodeId, TrialCount>) -> VersionAnswers {
-        let mut total = self.answers;
+    /// Returns the evidence of this router and its peers.
+    pub fn total_evidence(
+        &mut self,
+        peers: &IndexMap<NodeId, TrialCount>,
+        now: Instant,
+    ) -> MoveEvidence {
+        let mut total = self.evidence.evidence(now);
         for count in peers.values() {
-            total += count.answers;
+            total.add(&count.evidence);
         }
         total
     }
@@ -215,14 +230,15 @@
         if let Some(recorded) = peers.values().find(|count| count.is_recorded) {
             return self.apply_recorded(recorded.stage);
         }
-        let total = self.total_answers(peers);
+        let evidence = self.total_evidence(peers, now);
         let found_by_peer = peers.values().any(|count| count.stage == TrialStage::TakenBack);
         let elapsed = self.elapsed_fraction(now);
         let next = match self.stage {
             TrialStage::Unread | TrialStage::Done | TrialStage::TakenBack => self.stage,
-            _ if found_by_peer || total.is_faulty() => TrialStage::TakenBack,
+            _ if found_by_peer || evidence.is_faulty() => TrialStage::TakenBack,
             TrialStage::Trial
-                if elapsed >= PROMOTION_FRACTION && total.target_total() >= MIN_ANSWERS =>
+                if elapsed >= PROMOTION_FRACTION
+                    && evidence.total.target_total() >= MIN_ANSWERS =>
             {
                 TrialStage::Moved
             }
--- a/src/gateway/decision_log.rs
+++ b/src/gateway/decision_log.rs
@@ -14,7 +14,9 @@
     log::info!(
         service = &*order.service, target = &*order.target, order = order.revision,
         stage:% = stage, recorded = step.is_recorded, routers = step.routers,
-        answers:% = step.answers; "version move entered a stage"
+        answers:% = step.evidence.total, recent_answers = step.evidence.recent.answers,
+        recent_failures = step.evidence.recent.failures,
+        faulty_route = step.evidence.faulty_route().unwrap_or("none"); "version move entered a stage"
     );
 }
 
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    CallLimiter, ConnectionAdmission, CostEstimate, FairLevel, LoadSample, OverloadControl,
-    OverloadDetector, PeerReport, PeerTable, PromptShape, RetryBudget, SlidingCounter, StageChange,
-    TeamDemand, TeamUsage, TrialCount, TrialStage, VersionAnswers, VersionTrial,
+    AnswerQuality, CallLimiter, ConnectionAdmission, CostEstimate, FairLevel, LoadSample,
+    MoveEvidence, OverloadControl, OverloadDetector, PeerReport, PeerTable, PromptShape,
+    RetryBudget, SlidingCounter, StageChange, TeamDemand, TeamUsage, TrialCount, TrialStage,
+    VersionAnswers, VersionTrial,
 };
 use godwitcrank::ids::NodeId;
 use godwitcrank::routing::MoveOrder;
@@ -40,6 +41,12 @@
 /// Time between two calls of a trial that sees 1,000 calls in about half of its duration.
 const TRIAL_STEP: Duration = Duration::from_millis(10);
 
+/// Counts an answer that is good or a failure.
+fn record(trial: &mut VersionTrial, of_target: bool, good: bool, now: Instant) {
+    let quality = if good { AnswerQuality::Good } else { AnswerQuality::Failed };
+    trial.record(&"route".into(), of_target, quality, now);
+}
+
 /// Returns whether the next call goes to the target, which has capacity.
 fn sends_next(trial: &mut VersionTrial, upstreams: usize, now: Instant) -> bool {
     let Some(load) = trial.trial_load(upstreams, now) else { return trial.sends_to_target() };
@@ -50,6 +57,11 @@
     is_due
 }
 
+fn with_total(total: VersionAnswers) -> TrialCount {
+    let evidence = MoveEvidence { total, ..MoveEvidence::default() };
+    TrialCount { evidence, ..TrialCount::default() }
+}
+
 fn peers(count: &TrialCount) -> IndexMap<NodeId, TrialCount> {
     IndexMap::from([(NodeId::from("router-2"), count.clone())])
 }
@@ -201,10 +213,10 @@
     let now = Instant::now();
     let mut trial = trial(now);
     for _ in 0..300 {
-        trial.record(false, true);
+        record(&mut trial, false, true, now);
     }
-    let answers = VersionAnswers { target_good: 10, target_bad: 10, ..VersionAnswers::default() };
-    let seen = TrialCount { answers, ..TrialCount::default() };
+    let total = VersionAnswers { target_good: 10, target_bad: 10, ..VersionAnswers::default() };
+    let seen = with_total(total);
     let change = trial.evaluate(5, &peers(&seen), 2, now + Duration::from_secs(1));
     expect_that!(change, eq(StageChange::Entered(TrialStage::TakenBack)));
     expect_that!((0..100).any(|_| sends_next(&mut trial, 12, now)), eq(false));
@@ -216,8 +228,8 @@
     let now = Instant::now();
     let mut trial = trial(now);
     for index in 0..400 {
-        trial.record(false, index % 2 == 0);
-        trial.record(true, index % 2 == 0);
+        record(&mut trial, false, index % 2 == 0, now);
+        record(&mut trial, true, index % 2 == 0, now);
     }
     let change = trial.evaluate(5, &IndexMap::new(), 1, now + Duration::from_secs(1));
     assert_that!(change, eq(StageChange::Unchanged));
@@ -230,8 +242,8 @@
     let now = Instant::now();
     let mut trial = trial(now);
     for _ in 0..100 {
-        trial.record(false, true);
-        trial.record(true, true);
+        record(&mut trial, false, true, now);
+        record(&mut trial, true, true, now);
     }
     let later = now + Duration::from_secs(12);
     let observed = now + Duration::from_secs(17);
@@ -257,8 +269,8 @@
     let now = Instant::now();
     let mut trial = trial(now);
     for _ in 0..100 {
-        trial.record(false, true);
-        trial.record(true, true);
+        record(&mut trial, false, true, now);
+        record(&mut trial, true, true, now);
     }
     let late = now + Duration::from_secs(19);
     trial.evaluate(0, &IndexMap::new(), 1, late);
@@ -267,7 +279,7 @@
     let mut recorded = trial.clone();
     recorded.apply_recorded(TrialStage::Done);
     for trial in [&mut trial, &mut recorded] {
-        (0..100).for_each(|_| trial.record(true, false));
+        (0..100).for_each(|_| record(trial, true, false, now));
     }
     trial.evaluate(0, &IndexMap::new(), 1, late);
     expect_that!(trial.stage(), eq(TrialStage::TakenBack));
@@ -283,7 +295,7 @@
 fn apply_recorded_goes_before_own_decision() {
     let now = Instant::now();
     let mut trial = trial(now);
-    (0..20).for_each(|_| trial.record(true, false));
+    (0..20).for_each(|_| record(&mut trial, true, false, now));
     trial.evaluate(5, &IndexMap::new(), 1, now);
     expect_that!(trial.stage(), eq(TrialStage::TakenBack));
     let change = trial.apply_recorded(TrialStage::Done);
@@ -326,9 +338,9 @@
 fn evaluate_started_late_takes_age_of_peer() {
     let now = Instant::now();
     let mut trial = trial(now);
-    let answers = VersionAnswers { target_good: 60, other_good: 900, ..VersionAnswers::default() };
+    let total = VersionAnswers { target_good: 60, other_good: 900, ..VersionAnswers::default() };
     let age = Duration::from_secs(12);
-    let seen = TrialCount { stage: TrialStage::Moved, age, answers, ..TrialCount::default() };
+    let seen = TrialCount { stage: TrialStage::Moved, age, ..with_total(total) };
     trial.evaluate(5, &peers(&seen), 2, now);
     expect_that!(trial.stage(), eq(TrialStage::Moved));
 }
@@ -337,7 +349,7 @@
 #[gtest]
 fn matches_other_order_is_false() {
     let now = Instant::now();
-    let trial = trial(now);
+    let mut trial = trial(now);
     let own = trial.report(0, now);
     expect_that!(trial.matches(&own), eq(true));
     expect_that!(trial.matches(&TrialCount { order: 6, ..own.clone() }), eq(false));
--- a/tests/testsuite/version_load.rs
+++ b/tests/testsuite/version_load.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    CallDecision, CallOutcome, DirectDispatcher, PeerReport, PendingCall, TrialStage,
+    CallDecision, CallGrant, CallOutcome, DirectDispatcher, PeerReport, PendingCall, TrialStage,
 };
 use godwitcrank::ids::{CallId, GrantId, UpstreamId};
 use godwitcrank::routing::{MoveOrder, UpstreamEntry, ViewChange};
@@ -28,6 +28,12 @@
 /// Time after which a failure is answered.
 const FAILURE_TIME: Duration = Duration::from_millis(20);
 
+/// Part of the calls that are on the smaller route, in percent.
+const SMALL_ROUTE_PERCENT: u64 = 16;
+
+/// Calls from the order to its deadline up to which a separate test looks at failures of one route.
+const FEW_CALLS: f64 = 1_000.0;
+
 /// The users' bound on the calls that a bad version gets, as a share of all calls from the order to
 /// its deadline and a number of calls.
 const EXPOSED_SHARE: f64 = 0.1;
@@ -42,6 +48,8 @@
     Loaded { bears: usize, each: u64 },
     /// One of `each` answers, from so long after the order.
     Later { after: Duration, each: u64 },
+    /// One of `each` answers on the smaller route.
+    OneRoute { each: u64 },
 }
 
 /// A fleet of which one service is moved.
@@ -250,6 +258,7 @@
             self.next_call += 1;
             let router = usize::try_from(id).expect("it is small") % self.routers.len();
             let call = PendingCall {
+                route: if self.is_small_route(id) { "small" } else { "large" }.into(),
                 fingerprint: id.wrapping_mul(0x9E37_79B9_7F4A_7C15),
                 ..pending_call(id, "model", None, now)
             };
@@ -262,7 +271,7 @@
                 self.result.calls += 1;
                 match decision {
                     CallDecision::Send(grant) => {
-                        self.start_call(number, grant.id, &grant.upstream, now);
+                        self.start_call(number, id, &grant, now);
                     }
                     CallDecision::Refuse { .. } => self.result.refused += 1,
                 }
@@ -270,9 +279,10 @@
         }
     }
 
-    fn start_call(&mut self, router: usize, grant: GrantId, upstream: &UpstreamId, now: Instant) {
+    fn start_call(&mut self, router: usize, call: CallId, grant: &CallGrant, now: Instant) {
+        let upstream = &grant.upstream;
         let is_target = upstream.contains("v2");
-        let is_bad = is_target && self.is_bad(upstream, now);
+        let is_bad = is_target && self.is_bad(call, upstream, now);
         self.result.target_calls += u32::from(is_target);
         let (outcome, time) = if is_bad {
             (CallOutcome::Failed, FAILURE_TIME)
@@ -281,19 +291,26 @@
         };
         self.running.push(RunningCall {
             router,
-            grant,
+            grant: grant.id,
             upstream: Arc::clone(upstream),
             ends_at: now + time,
             outcome,
         });
     }
 
+    /// Returns whether a call is on the smaller of the two routes.
+    fn is_small_route(&self, call: CallId) -> bool {
+        // Each router gets calls of both routes.
+        (call / self.routers.len() as u64) % 100 < SMALL_ROUTE_PERCENT
+    }
+
     /// Returns whether the target's answer to a call that begins now is bad.
-    fn is_bad(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
+    fn is_bad(&mut self, call: CallId, upstream: &UpstreamId, now: Instant) -> bool {
         let running = self.running.iter().filter(|call| call.upstream == *upstream).count();
         let each = match self.plan.fault {
             VersionFault::Loaded { bears, each } if running >= bears => each,
             VersionFault::Later { after, each } if now - self.start >= after => each,
+            VersionFault::OneRoute { each } if self.is_small_route(call) => each,
             _ => return false,
         };
         self.target_answers += 1;
@@ -345,6 +362,39 @@
     }
 }
 
+/// Guards against completing the move to a version that fails on one route only, whose calls are few
+/// among all.
+#[gtest]
+fn evaluate_moves_bad_on_one_route_is_taken_back() {
+    for plan in PLANS {
+        for duration in DURATIONS {
+            let plan = MovePlan { duration, ..plan };
+            if plan.rate * duration.as_secs_f64() > FEW_CALLS {
+                check_bad_on_one_route(plan);
+            }
+        }
+    }
+}
+
+/// Guards against the same with so few calls that the users' bound leaves the target about twenty on
+/// the route that fails.
+#[gtest]
+fn evaluate_moves_bad_on_one_route_few_calls_is_taken_back() {
+    check_bad_on_one_route(MovePlan { duration: DURATIONS[0], ..FEW_UPSTREAMS });
+}
+
+fn check_bad_on_one_route(plan: MovePlan) {
+    let plan = MovePlan { fault: VersionFault::OneRoute { each: 5 }, ..plan };
+    let result = play(plan);
+    expect_that!(
+        result.recorded.map(|(stage, _)| stage),
+        some(eq(TrialStage::TakenBack)),
+        "{plan:?} {result:?}"
+    );
+    let exposed = f64::from(result.target_calls);
+    expect_that!(exposed, le(result.exposed_bound()), "{plan:?} {result:?}");
+}
+
 /// Guards against a good version that is not moved to by its deadline, or is completed while calls
 /// still run at the other version.
 #[gtest]
