--- a/src/decision/direct/version_evidence.rs
+++ b/src/decision/direct/version_evidence.rs
@@ -135,7 +135,7 @@
 
     /// Returns whether the target proves faulty, on all routes together, on one of them, or lately.
     pub fn is_faulty(&self) -> bool {
-        self.total.is_faulty() || self.faulty_route().is_some()
+        self.total.is_faulty() || self.faulty_route().is_some() || self.recent_answers().is_faulty()
     }
 
     /// Returns a route on which the target proves faulty.
@@ -143,6 +143,15 @@
         let faulty = self.routes.iter().find(|(_, answers)| answers.is_faulty());
         faulty.map(|(route, _)| &**route)
     }
+
+    /// Returns the recent answers of the target beside all answers of the other versions.
+    fn recent_answers(&self) -> VersionAnswers {
+        VersionAnswers {
+            target_good: self.recent.answers.saturating_sub(self.recent.failures),
+            target_bad: self.recent.failures,
+            ..self.total
+        }
+    }
 }
 
 /// Counts one router's answers during a version move.
--- a/tests/testsuite/version_load.rs
+++ b/tests/testsuite/version_load.rs
@@ -346,7 +346,7 @@
 fn evaluate_moves_bad_later_is_taken_back() {
     for plan in PLANS {
         for duration in DURATIONS {
-            for part in [0.2, 0.4, 0.55] {
+            for part in [0.2, 0.4, 0.55, 0.6] {
                 let fault = VersionFault::Later { after: duration.mul_f64(part), each: 4 };
                 let plan = MovePlan { duration, fault, ..plan };
                 let result = play(plan);
