End calls that were handed over at the timeout of their own route

Cause: the router that hands a connection over did not read the call's route, so its only limit was the longest timeout of all routes, and none once an answer had begun.

Evidence: handoff::frozen_target_calls_end_at_timeout_of_route failed on (calls of a route of 0.7 s lasted longer than 1.2 s) and passes now.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -78,18 +78,19 @@
     homes: Option<Vec<RegionId>>,
 }
 
+/// Returns the host that a call is addressed to; empty if it names none.
+pub(super) fn find_host(head: &request::Parts) -> &str {
+    let host = || head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    head.uri.host().or_else(host).unwrap_or_default()
+}
+
 fn find_route(
     table: &RouteTable,
     head: &request::Parts,
     metadata: &CallMetadata,
 ) -> Result<CallRoute, GatewayRefusal> {
-    let host = head
-        .uri
-        .host()
-        .or_else(|| head.headers.get(HOST).and_then(|host| host.to_str().ok()))
-        .unwrap_or_default();
     let version = table.version();
-    match table.find(host, head.uri.path(), metadata.key.as_deref()) {
+    match table.find(find_host(head), head.uri.path(), metadata.key.as_deref()) {
         RouteMatch::Allowed { route, team, priority, homes } => {
             Ok(CallRoute { route, team, priority, homes })
         }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -1,7 +1,9 @@
 //! Hands callers' connections over to other routers.
 //!
-//! The bytes of both directions are relayed unread. The other router serves one call on the
-//! connection and closes it.
+//! The head of the call is read for its deadline; all other bytes are relayed unread in both
+//! directions. The other router serves one call on the connection and closes it. It may stop or
+//! stand still at any moment, so this router gives the final answer soon after the deadline if the
+//! other one has not.
 
 use std::future::Future;
 use std::io;
@@ -14,12 +16,16 @@
 
 use super::GatewayContext;
 use super::adapter::GatewayAdapter;
+use super::call_start::CallStart;
 use super::pool::set_timeouts;
 use crate::supervisor::StopSignal;
 
 /// Time limit for opening a connection to another router: several round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time after a call's deadline until which the other router's own final answer is awaited.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
 /// Sizes of the buffers for a call and for its answer, in bytes.
 const CALL_BUFFER_BYTES: usize = 16 << 10;
 const ANSWER_BUFFER_BYTES: usize = 4 << 10;
@@ -89,26 +95,30 @@
 
 async fn relay_call<A: GatewayAdapter>(
     context: &GatewayContext<A>,
-    caller: TcpStream,
+    mut caller: TcpStream,
     router: TcpStream,
 ) -> io::Result<()> {
     set_timeouts(&caller)?;
-    let limit = context.table.borrow().as_ref().map_or(Duration::ZERO, |table| table.max_timeout());
+    let start = CallStart::read(&mut caller, context.limits().head_time).await?;
+    let deadline = start.deadline(context) + ANSWER_MARGIN;
     let give_up = async {
         tokio::select! {
-            () = tokio::time::sleep(limit) => {}
+            () = tokio::time::sleep_until(deadline.into()) => {}
             () = context.answers_due.cancelled() => {}
         }
     };
-    relay_bytes(caller, router, give_up).await
+    relay_bytes(caller, router, &start.bytes, give_up, deadline).await
 }
 
-/// Copies bytes in both directions until the answer ends or the caller leaves. If no answer has
-/// begun when `give_up` completes, the caller is told that its call timed out.
+/// Sends the start of a call and copies bytes in both directions until the answer ends, the caller
+/// leaves or the deadline passes. If no answer has begun when `give_up` completes, the caller is told
+/// that its call timed out.
 async fn relay_bytes(
     mut caller: TcpStream,
     mut router: TcpStream,
+    start: &[u8],
     give_up: impl Future<Output = ()>,
+    deadline: Instant,
 ) -> io::Result<()> {
     let (from_caller, mut to_caller) = caller.split();
     let (from_router, mut to_router) = router.split();
@@ -122,12 +132,17 @@
         if !has_begun {
             return to_caller.write_all(TIMEOUT_ANSWER).await;
         }
-        copy_buf(&mut answer, &mut to_caller).await.map(drop)
+        let copying = copy_buf(&mut answer, &mut to_caller);
+        tokio::time::timeout_at(deadline.into(), copying).await?.map(drop)
+    };
+    let sending = async {
+        to_router.write_all(start).await?;
+        copy_buf(&mut call, &mut to_router).await
     };
     tokio::pin!(answering);
     tokio::select! {
         ended = &mut answering => ended,
-        sent = copy_buf(&mut call, &mut to_router) => match sent {
+        sent = sending => match sent {
             // The caller has left.
             Ok(_) => Ok(()),
             // The router may have answered before it closed the connection.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod buffer_memory;
 mod call_log;
 mod call_run;
+mod call_start;
 mod caller;
 mod control;
 mod decision_log;
