Answer a call whose connection another router ended without a word

What callers saw: a closed connection, as if their call had not been read.

Cause: the end of the connection to the router that had taken the call over counted as the begin of its answer.

Change: the caller gets 502, which promises nothing: the call may have run.

Evidence: handoff::killed_target_calls_get_bad_gateway failed on (no caller of a killed router got an answer) and passes now.

--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -37,6 +37,10 @@
 const TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
+/// Answer to a call whose connection the other router ended without one. The call may have run.
+const BROKEN_ANSWER: &[u8] =
+    b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
 /// Returns whether connections may be handed over now. None are during a shutdown, as a call might
 /// not end before the process does, nor while a call may be bound to a region.
 pub(super) fn may_hand_over<A: GatewayAdapter>(context: &GatewayContext<A>) -> bool {
@@ -93,6 +97,17 @@
     Ok(stream)
 }
 
+/// How the wait for another router's answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerStart {
+    /// Bytes of an answer have arrived.
+    Begun,
+    /// The router has ended the connection.
+    Broken,
+    /// It is time to give up.
+    TimedOut,
+}
+
 async fn relay_call<A: GatewayAdapter>(
     context: &GatewayContext<A>,
     mut caller: TcpStream,
@@ -111,8 +126,8 @@
 }
 
 /// Sends the start of a call and copies bytes in both directions until the answer ends, the caller
-/// leaves or the deadline passes. If no answer has begun when `give_up` completes, the caller is told
-/// that its call timed out.
+/// leaves or the deadline passes. If no answer has begun when `give_up` completes or the router
+/// ends the connection, the caller gets a final answer.
 async fn relay_bytes(
     mut caller: TcpStream,
     mut router: TcpStream,
@@ -125,15 +140,21 @@
     let mut call = BufReader::with_capacity(CALL_BUFFER_BYTES, from_caller);
     let mut answer = BufReader::with_capacity(ANSWER_BUFFER_BYTES, from_router);
     let answering = async {
-        let has_begun = tokio::select! {
-            begun = answer.fill_buf() => begun.map(|_| true)?,
-            () = give_up => false,
+        let begun = tokio::select! {
+            begun = answer.fill_buf() => match begun {
+                Ok([]) | Err(_) => AnswerStart::Broken,
+                Ok(_) => AnswerStart::Begun,
+            },
+            () = give_up => AnswerStart::TimedOut,
         };
-        if !has_begun {
-            return to_caller.write_all(TIMEOUT_ANSWER).await;
+        match begun {
+            AnswerStart::Broken => to_caller.write_all(BROKEN_ANSWER).await,
+            AnswerStart::TimedOut => to_caller.write_all(TIMEOUT_ANSWER).await,
+            AnswerStart::Begun => {
+                let copying = copy_buf(&mut answer, &mut to_caller);
+                tokio::time::timeout_at(deadline.into(), copying).await?.map(drop)
+            }
         }
-        let copying = copy_buf(&mut answer, &mut to_caller);
-        tokio::time::timeout_at(deadline.into(), copying).await?.map(drop)
     };
     let sending = async {
         to_router.write_all(start).await?;
