Use the offer of another router only while its reports arrive

Cause: an offer held as long as a peer's load does, 15 times the interval of reports.

Change: it holds for 0.5 s, or for four mean intervals in fleets that report less often.

Evidence: handoff::offers_silent_peer_left_out failed before (an offer in use 0.6 s after the last report) and passes now.

--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -22,6 +22,11 @@
 /// Time without reports after which a peer is no longer considered alive by its reports.
 const REPORT_TTL: Duration = Duration::from_secs(5);
 
+/// Time without reports for which a peer's offer holds; it may stand still. In fleets in which
+/// routers report less often, it is a number of mean intervals, as single reports may be lost.
+const OFFER_TTL: Duration = Duration::from_millis(500);
+const OFFER_INTERVALS: u32 = 4;
+
 /// Number of routers assumed until the store has named the members.
 pub const DEFAULT_ROUTER_COUNT: u32 = 32;
 
@@ -163,6 +168,20 @@
     usage: TeamUsage,
     refused: TeamUsage,
     received_at: Instant,
+    /// Mean time between its reports; zero after the first one.
+    interval: Duration,
+}
+
+impl KnownPeer {
+    /// Returns the mean time between reports when the next one arrives.
+    fn next_interval(&self, now: Instant) -> Duration {
+        let last = now.duration_since(self.received_at).min(LOAD_TTL);
+        if self.interval.is_zero() { last } else { (self.interval * 3 + last) / 4 }
+    }
+
+    fn offer_ttl(&self) -> Duration {
+        OFFER_TTL.max(self.interval * OFFER_INTERVALS).min(LOAD_TTL)
+    }
 }
 
 /// Last reports of all peers, and the number of members.
@@ -196,8 +215,9 @@
         };
         let usage = TeamUsage::reported(&report.teams, now);
         let refused = TeamUsage::reported(&report.refused, now);
+        let interval = known.map_or(Duration::ZERO, |known| known.next_interval(now));
         let node = NodeId::clone(&report.node);
-        self.peers.insert(node, KnownPeer { report, usage, refused, received_at: now });
+        self.peers.insert(node, KnownPeer { report, usage, refused, received_at: now, interval });
         Some(change)
     }
 
@@ -278,7 +298,7 @@
     /// view in this revision or a newer one, so that no call is handled by an older configuration.
     pub fn offers(&self, operators: StoreRevision, now: Instant) -> Vec<HandoffOffer> {
         self.alive(now)
-            .filter(|(_, peer)| now.duration_since(peer.received_at) < LOAD_TTL)
+            .filter(|(_, peer)| now.duration_since(peer.received_at) < peer.offer_ttl())
             .filter(|(_, peer)| peer.report.operators >= operators)
             .filter_map(|(_, peer)| peer.report.offer.clone())
             .collect()
--- a/tests/testsuite/handoff.rs
+++ b/tests/testsuite/handoff.rs
@@ -85,6 +85,27 @@
     expect_that!(addresses, unordered_elements_are![eq(&address(5)), eq(&address(6))]);
 }
 
+/// Guards against connections that go on being handed to a router that stands still, and against
+/// none being handed over in large fleets, whose routers report less often.
+#[gtest]
+fn offers_silent_peer_left_out() {
+    const REPORTS: u32 = 20;
+    for (interval, silence, is_usable) in
+        [(100, 400, true), (100, 600, false), (300, 1_000, true), (300, 1_300, false)]
+    {
+        let start = Instant::now();
+        let interval = Duration::from_millis(interval);
+        let mut peers = PeerTable::default();
+        for number in 0..REPORTS {
+            let mut report = PeerReport::new("spare".into(), address(9), 1, u64::from(number) + 1);
+            report.offer = Some(offer(1, "caerdydd", 100.0));
+            peers.record(report, start + interval * number);
+        }
+        let now = start + interval * (REPORTS - 1) + Duration::from_millis(silence);
+        expect_that!(!peers.offers(0, now).is_empty(), eq(is_usable), "{interval:?} {silence} ms");
+    }
+}
+
 /// Guards against a router that takes over others' connections when it is late or nearly out of
 /// connections itself.
 #[gtest]
