End a run whose engine sends an event without end

What callers saw: nothing yet; reported by another operator.

Cause: the agent kept an event until its end, whatever its length.

Change: an event over 1 MiB ends the run.

Evidence: edge::push_event_without_end_fails; before, push had no error to return and kept the 16 MB that the test pushes.

--- a/src/agent/engine_stream.rs
+++ b/src/agent/engine_stream.rs
@@ -10,6 +10,14 @@
 /// Terminator of an event.
 const EVENT_END: &[u8] = b"\n\n";
 
+/// Maximum size of an event in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Error for an event that exceeds the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct OversizedEvent;
+
 /// Line of the event that ends a stream.
 const END_EVENT: &[u8] = b"data: [DONE]";
 
@@ -53,17 +61,20 @@
 
 impl EventScanner {
     /// Adds bytes and returns the events that are complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, OversizedEvent> {
         let scanned = self.pending.len().saturating_sub(EVENT_END.len() - 1);
         self.pending.extend_from_slice(bytes);
         let last_end = self.pending[scanned..]
             .windows(EVENT_END.len())
             .rposition(|window| window == EVENT_END)
             .map(|start| scanned + start + EVENT_END.len());
-        let Some(end) = last_end else { return Bytes::new() };
+        let Some(end) = last_end else {
+            let is_oversized = self.pending.len() > MAX_EVENT_BYTES;
+            return if is_oversized { Err(OversizedEvent) } else { Ok(Bytes::new()) };
+        };
         let events = self.pending.split_to(end).freeze();
         self.inspect(&events);
-        events
+        Ok(events)
     }
 
     /// Discards the incomplete event at the end of a broken connection.
--- a/src/agent/upstream_run.rs
+++ b/src/agent/upstream_run.rs
@@ -224,8 +224,11 @@
             let interruption = match tokio::time::timeout(idle_timeout, body.try_next()).await {
                 Ok(Ok(Some(bytes))) => {
                     idle_timeout = STREAM_IDLE_TIMEOUT;
-                    let events = scanner.push(&bytes);
-                    self.write_data(events, &mut capture, &mut counter).await;
+                    match scanner.push(&bytes) {
+                        Ok(events) => self.write_data(events, &mut capture, &mut counter).await,
+                        // The engine would send the same again.
+                        Err(error) => return RunEnd::connection_lost(error),
+                    }
                     continue;
                 }
                 Ok(Ok(None)) if scanner.is_finished() => {
--- a/tests/testsuite/edge.rs
+++ b/tests/testsuite/edge.rs
@@ -110,7 +110,7 @@
         let mut sizes = sizes.into_iter().cycle();
         while !rest.is_empty() {
             let (chunk, tail) = rest.split_at(sizes.next().unwrap_or(1).min(rest.len()));
-            passed.extend_from_slice(&scanner.push(chunk));
+            passed.extend_from_slice(&scanner.push(chunk).expect("the events are short"));
             prop_assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
             rest = tail;
         }
@@ -194,3 +194,12 @@
     }
     fleet.close().await.expect("the fleet ends");
 }
+
+/// Guards against an engine that sends an event without end: the agent would keep all of it.
+#[gtest]
+fn push_event_without_end_fails() {
+    const CHUNK: [u8; 16 << 10] = [b'x'; 16 << 10];
+    let mut scanner = EventScanner::default();
+    let first_error = (0..1_000).position(|_| scanner.push(&CHUNK).is_err());
+    expect_that!(first_error, some(le(64)));
+}
