Limit the replies of the store and of other routers

What callers would see: all calls of a machine end, since its process is out of memory.

Cause: the gateway used the client of the product's table service with its limit of 64 MiB a reply, several at a time; the smallest machines have 88 MB.

--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -27,6 +27,9 @@
 /// Time limit of a fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum size of a view in bytes; a fleet of hundreds of upstreams needs a fraction of it.
+const VIEW_LIMIT: usize = 4 << 20;
+
 /// Queue of routers to fetch from; it outlives a restart of the fetcher.
 pub type FetchQueue = Arc<Mutex<mpsc::Receiver<SocketAddr>>>;
 
@@ -98,7 +101,7 @@
 
 async fn fetch_view(address: SocketAddr) -> eyre::Result<ViewSnapshot> {
     let base: Uri = format!("http://{address}").parse()?;
-    let client = PlatformClient::new(&base, FETCH_TIMEOUT);
+    let client = PlatformClient::new(&base, FETCH_TIMEOUT).with_reply_limit(VIEW_LIMIT);
     let reply = client.send(Method::GET, VIEW_PATH, Bytes::new()).await?;
     if reply.status != StatusCode::OK {
         return Err(reply.into_error().into());
--- a/src/store/http_client.rs
+++ b/src/store/http_client.rs
@@ -10,9 +10,12 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
-/// Maximum size of a reply body in bytes.
+/// Maximum size of a reply body in bytes, unless the client has a limit of its own.
 const REPLY_BYTES_LIMIT: usize = 64 << 20;
 
+/// Size of the read buffer of one connection in bytes, and so of the head of a reply.
+const HEAD_BYTES_LIMIT: usize = 64 << 10;
+
 /// TCP keep-alive: idle time before the first probe, and interval between probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -83,6 +86,7 @@
 pub struct PlatformClient {
     base: String,
     timeout: Duration,
+    reply_limit: usize,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -92,8 +96,17 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
-        let client = Client::builder(TokioExecutor::new()).build(connector);
-        Self { base: base.to_string().trim_end_matches('/').to_owned(), timeout, client }
+        Self {
+            base: base.to_string().trim_end_matches('/').to_owned(),
+            timeout,
+            reply_limit: REPLY_BYTES_LIMIT,
+            client: build_client(connector),
+        }
+    }
+
+    /// Sets the maximum size of a reply body in bytes.
+    pub fn with_reply_limit(self, reply_limit: usize) -> Self {
+        Self { reply_limit, ..self }
     }
 
     /// Enables TCP keep-alive and the TCP user timeout, which detect a silent connection while a
@@ -106,7 +119,7 @@
         connector.set_keepalive_interval(Some(KEEP_ALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEP_ALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(self.timeout));
-        self.client = Client::builder(TokioExecutor::new()).build(connector);
+        self.client = build_client(connector);
         self
     }
 
@@ -148,7 +161,7 @@
                 }
             })?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), REPLY_BYTES_LIMIT).collect().await;
+            let body = Limited::new(response.into_body(), self.reply_limit).collect().await;
             let body = body.map_err(|error| lost(error.to_string()))?.to_bytes();
             Ok(PlatformReply { status, body, url: url.clone() })
         };
@@ -157,3 +170,7 @@
             .map_err(|_| lost(format!("nothing within {timeout:?}")))?
     }
 }
+
+fn build_client(connector: HttpConnector) -> Client<HttpConnector, Full<Bytes>> {
+    Client::builder(TokioExecutor::new()).http1_max_buf_size(HEAD_BYTES_LIMIT).build(connector)
+}
