--- a/tests/testsuite/version_load.rs
+++ b/tests/testsuite/version_load.rs
@@ -412,3 +412,25 @@
         }
     }
 }
+
+/// Guards against calls that are refused because of an order whose versions have all gone.
+#[gtest]
+fn dispatch_versions_of_order_gone_uses_others() {
+    for stage in [TrialStage::Trial, TrialStage::Done, TrialStage::TakenBack] {
+        let now = Instant::now();
+        let mut fleet = SimulatedFleet::new(MovePlan { routers: 1, ..TWO_ROUTERS }, now);
+        let router = &mut fleet.routers[0];
+        router.apply_move_record(&"model".into(), 5, stage, now);
+        let known: Vec<UpstreamId> = router.upstreams().keys().cloned().collect();
+        for id in known {
+            router.apply(&ViewChange::UpstreamGone(id), now);
+        }
+        router.apply(&ViewChange::Upstream("i-v3".into(), entry("v3")), now);
+        router.enqueue(pending_call(1, "model", None, now), now);
+        let decisions = router.dispatch(now);
+        expect_that!(decisions.len(), eq(1), "{stage}");
+        let is_sent =
+            matches!(&decisions[0].1, CallDecision::Send(grant) if &*grant.upstream == "i-v3");
+        expect_that!(is_sent, eq(true), "{stage}");
+    }
+}
