--- a/tests/testsuite/version_load.rs
+++ b/tests/testsuite/version_load.rs
@@ -322,42 +322,38 @@
     SimulatedFleet::new(plan, Instant::now()).play()
 }
 
+/// Plays the move to a bad version; checks that it is taken back within the users' bound.
+fn expect_taken_back(plan: MovePlan) {
+    let result = play(plan);
+    expect_that!(
+        result.recorded.map(|(stage, _)| stage),
+        some(eq(TrialStage::TakenBack)),
+        "{plan:?} {result:?}"
+    );
+    let exposed = f64::from(result.target_calls);
+    expect_that!(exposed, le(result.exposed_bound()), "{plan:?} {result:?}");
+}
+
+/// Returns all plans with all durations.
+fn all_plans() -> impl Iterator<Item = MovePlan> {
+    let with_durations = |plan| DURATIONS.map(|duration| MovePlan { duration, ..plan });
+    PLANS.into_iter().flat_map(with_durations)
+}
+
 /// Guards against completing the move to a version that fails only under the load that each
 /// upstream bears after the move.
 #[gtest]
 fn evaluate_moves_bad_under_load_is_taken_back() {
-    for plan in PLANS {
-        for duration in DURATIONS {
-            let plan = MovePlan { duration, ..plan };
-            let result = play(plan);
-            expect_that!(
-                result.recorded.map(|(stage, _)| stage),
-                some(eq(TrialStage::TakenBack)),
-                "{plan:?} {result:?}"
-            );
-            let exposed = f64::from(result.target_calls);
-            expect_that!(exposed, le(result.exposed_bound()), "{plan:?} {result:?}");
-        }
-    }
+    all_plans().for_each(expect_taken_back);
 }
 
 /// Guards against completing the move to a version whose failures begin some time after its start.
 #[gtest]
 fn evaluate_moves_bad_later_is_taken_back() {
-    for plan in PLANS {
-        for duration in DURATIONS {
-            for part in [0.2, 0.4, 0.55, 0.6] {
-                let fault = VersionFault::Later { after: duration.mul_f64(part), each: 4 };
-                let plan = MovePlan { duration, fault, ..plan };
-                let result = play(plan);
-                expect_that!(
-                    result.recorded.map(|(stage, _)| stage),
-                    some(eq(TrialStage::TakenBack)),
-                    "{plan:?} {result:?}"
-                );
-                let exposed = f64::from(result.target_calls);
-                expect_that!(exposed, le(result.exposed_bound()), "{plan:?} {result:?}");
-            }
+    for plan in all_plans() {
+        for part in [0.2, 0.4, 0.55, 0.6] {
+            let fault = VersionFault::Later { after: plan.duration.mul_f64(part), each: 4 };
+            expect_taken_back(MovePlan { fault, ..plan });
         }
     }
 }
@@ -366,13 +362,9 @@
 /// among all.
 #[gtest]
 fn evaluate_moves_bad_on_one_route_is_taken_back() {
-    for plan in PLANS {
-        for duration in DURATIONS {
-            let plan = MovePlan { duration, ..plan };
-            if plan.rate * duration.as_secs_f64() > FEW_CALLS {
-                check_bad_on_one_route(plan);
-            }
-        }
+    let has_calls = |plan: &MovePlan| plan.rate * plan.duration.as_secs_f64() > FEW_CALLS;
+    for plan in all_plans().filter(has_calls) {
+        expect_taken_back(MovePlan { fault: VersionFault::OneRoute { each: 5 }, ..plan });
     }
 }
 
@@ -380,36 +372,23 @@
 /// the route that fails.
 #[gtest]
 fn evaluate_moves_bad_on_one_route_few_calls_is_taken_back() {
-    check_bad_on_one_route(MovePlan { duration: DURATIONS[0], ..FEW_UPSTREAMS });
-}
-
-fn check_bad_on_one_route(plan: MovePlan) {
-    let plan = MovePlan { fault: VersionFault::OneRoute { each: 5 }, ..plan };
-    let result = play(plan);
-    expect_that!(
-        result.recorded.map(|(stage, _)| stage),
-        some(eq(TrialStage::TakenBack)),
-        "{plan:?} {result:?}"
-    );
-    let exposed = f64::from(result.target_calls);
-    expect_that!(exposed, le(result.exposed_bound()), "{plan:?} {result:?}");
+    let fault = VersionFault::OneRoute { each: 5 };
+    expect_taken_back(MovePlan { duration: DURATIONS[0], fault, ..FEW_UPSTREAMS });
 }
 
 /// Guards against a good version that is not moved to by its deadline, or is completed while calls
 /// still run at the other version.
 #[gtest]
 fn evaluate_moves_good_version_is_completed_in_time() {
-    for plan in PLANS {
-        for duration in DURATIONS {
-            let plan = MovePlan { duration, fault: VersionFault::None, ..plan };
-            let result = play(plan);
-            expect_that!(
-                result.recorded.map(|(stage, _)| stage),
-                some(eq(TrialStage::Done)),
-                "{plan:?} {result:?}"
-            );
-            expect_that!((result.cut, result.refused), eq((0, 0)), "{plan:?} {result:?}");
-        }
+    for plan in all_plans() {
+        let plan = MovePlan { fault: VersionFault::None, ..plan };
+        let result = play(plan);
+        expect_that!(
+            result.recorded.map(|(stage, _)| stage),
+            some(eq(TrialStage::Done)),
+            "{plan:?} {result:?}"
+        );
+        expect_that!((result.cut, result.refused), eq((0, 0)), "{plan:?} {result:?}");
     }
 }
 
