Ask for more late answers than failures to take a version back

What callers would see: none; operators would see a good version taken back and its move undone.

Cause: the trial loads few upstreams, whose caches are cold, and 6 late answers of 59 counted as a fault like failures do.

Change: six failures, or twenty late answers and failures together.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -63,7 +63,9 @@
 pub use upstream_notices::{
     MAX_PAUSE, NoticedUpstream, UpstreamNotice, UpstreamNotices, UpstreamStart,
 };
-pub use version_evidence::{AnswerQuality, MoveEvidence, RecentAnswers, VersionAnswers};
+pub use version_evidence::{
+    AnswerCount, AnswerQuality, MoveEvidence, RecentAnswers, VersionAnswers,
+};
 pub use version_moves::MoveStep;
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
 pub use view_freshness::ViewFreshness;
--- a/src/decision/direct/version_evidence.rs
+++ b/src/decision/direct/version_evidence.rs
@@ -2,9 +2,10 @@
 //! the other versions.
 //!
 //! A version may fail on one route only, or begin to fail after many good answers. Either would be
-//! hidden in the sum of all answers, so routes and recent failures are also looked at alone. Late
-//! answers count in the sums only: the caches of a target that has just got all calls are cold, and
-//! its first answers may be late.
+//! hidden in the sum of all answers, so routes and recent failures are also looked at alone.
+//!
+//! Late answers prove less than failures, as the first ones of a sound target with cold caches may be
+//! late. It takes more of them, and they do not count as recent.
 
 use std::time::{Duration, Instant};
 
@@ -20,8 +21,11 @@
 /// Most routes that a router reports, those with the most answers of the target first.
 const MAX_REPORTED_ROUTES: usize = 16;
 
-/// Fewest bad answers of the target that count as a fault.
-const MIN_BAD_ANSWERS: u32 = 6;
+/// Fewest failures of the target that count as a fault.
+const MIN_FAILURES: u32 = 6;
+
+/// Fewest late answers and failures of the target that together count as a fault.
+const MIN_BAD_ANSWERS: u32 = 20;
 
 /// Excess of the target's share of bad answers over that of the other versions that is tolerated.
 const TOLERATED_BAD_SHARE: f64 = 0.08;
@@ -40,7 +44,7 @@
     Failed,
 }
 
-/// Good and bad answers of the target and of the other versions.
+/// Answers of one version, or of several together.
 #[derive(
     Clone,
     Copy,
@@ -53,47 +57,79 @@
     derive_more::Display,
     derive_more::AddAssign,
 )]
-#[display("target {target_good} good {target_bad} bad, others {other_good} good {other_bad} bad")]
-pub struct VersionAnswers {
-    /// Good answers from the target.
-    pub target_good: u32,
-    /// Bad answers from the target.
-    pub target_bad: u32,
-    /// Good answers from other versions.
-    pub other_good: u32,
-    /// Bad answers from other versions.
-    pub other_bad: u32,
+#[display("{good} good {late} late {failed} failed")]
+pub struct AnswerCount {
+    /// Good answers.
+    pub good: u32,
+    /// Late answers.
+    pub late: u32,
+    /// Failures.
+    pub failed: u32,
 }
 
-impl VersionAnswers {
-    /// Counts an answer of the target or of another version.
-    pub fn record(&mut self, of_target: bool, good: bool) {
-        let count = match (of_target, good) {
-            (true, true) => &mut self.target_good,
-            (true, false) => &mut self.target_bad,
-            (false, true) => &mut self.other_good,
-            (false, false) => &mut self.other_bad,
+impl AnswerCount {
+    /// Counts an answer.
+    pub fn record(&mut self, quality: AnswerQuality) {
+        let count = match quality {
+            AnswerQuality::Good => &mut self.good,
+            AnswerQuality::Late => &mut self.late,
+            AnswerQuality::Failed => &mut self.failed,
         };
         *count += 1;
     }
 
-    /// Returns the number of answers from the target.
-    pub fn target_total(&self) -> u32 {
-        self.target_good + self.target_bad
+    /// Returns the number of answers.
+    pub fn total(&self) -> u32 {
+        self.good + self.late + self.failed
     }
+}
 
-    /// Returns whether the target proves faulty by these answers: compares the shares of bad answers with a
-    /// two-proportion z-test.
+/// Answers of the target and of the other versions.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+    derive_more::AddAssign,
+)]
+#[display("target {target}, others {others}")]
+pub struct VersionAnswers {
+    /// Answers of the target.
+    pub target: AnswerCount,
+    /// Answers of the other versions.
+    pub others: AnswerCount,
+}
+
+impl VersionAnswers {
+    /// Counts an answer of the target or of another version.
+    pub fn record(&mut self, of_target: bool, quality: AnswerQuality) {
+        let count = if of_target { &mut self.target } else { &mut self.others };
+        count.record(quality);
+    }
+
+    /// Returns whether the target proves faulty by these answers.
     pub fn is_faulty(&self) -> bool {
-        if self.target_bad < MIN_BAD_ANSWERS {
+        let failed = |count: &AnswerCount| count.failed;
+        let bad = |count: &AnswerCount| count.late + count.failed;
+        self.exceeds(MIN_FAILURES, failed) || self.exceeds(MIN_BAD_ANSWERS, bad)
+    }
+
+    /// Compares the shares of bad answers, which `bad` counts, with a two-proportion z-test.
+    fn exceeds(&self, fewest: u32, bad: impl Fn(&AnswerCount) -> u32) -> bool {
+        let (target_bad, other_bad) = (bad(&self.target), bad(&self.others));
+        if target_bad < fewest {
             return false;
         }
-        let target_total = f64::from(self.target_total());
-        let other_total = f64::from(self.other_good + self.other_bad);
-        let target_share = f64::from(self.target_bad) / target_total;
-        let other_share =
-            if other_total > 0.0 { f64::from(self.other_bad) / other_total } else { 0.0 };
-        let pooled = f64::from(self.target_bad + self.other_bad) / (target_total + other_total);
+        let target_total = f64::from(self.target.total());
+        let other_total = f64::from(self.others.total());
+        let target_share = f64::from(target_bad) / target_total;
+        let other_share = f64::from(other_bad) / other_total.max(1.0);
+        let pooled = f64::from(target_bad + other_bad) / (target_total + other_total);
         let error =
             (pooled * (1.0 - pooled) * (1.0 / target_total + 1.0 / other_total.max(1.0))).sqrt();
         target_share > other_share + TOLERATED_BAD_SHARE
@@ -146,10 +182,11 @@
 
     /// Returns the recent answers of the target beside all answers of the other versions.
     fn recent_answers(&self) -> VersionAnswers {
+        let RecentAnswers { answers, failures } = self.recent;
+        let good = answers.saturating_sub(failures);
         VersionAnswers {
-            target_good: self.recent.answers.saturating_sub(self.recent.failures),
-            target_bad: self.recent.failures,
-            ..self.total
+            target: AnswerCount { good, late: 0, failed: failures },
+            others: self.total.others,
         }
     }
 }
@@ -181,9 +218,8 @@
         quality: AnswerQuality,
         now: Instant,
     ) {
-        let good = quality == AnswerQuality::Good;
-        self.total.record(of_target, good);
-        self.routes.entry(RouteId::clone(route)).or_default().record(of_target, good);
+        self.total.record(of_target, quality);
+        self.routes.entry(RouteId::clone(route)).or_default().record(of_target, quality);
         if of_target {
             self.recent_answers.record(now);
             if quality == AnswerQuality::Failed {
@@ -207,8 +243,8 @@
 
     fn largest_routes(&self) -> IndexMap<RouteId, VersionAnswers> {
         let mut routes = self.routes.clone();
-        routes.retain(|_, answers| answers.target_total() > 0);
-        routes.sort_by(|_, one, _, other| other.target_total().cmp(&one.target_total()));
+        routes.retain(|_, answers| answers.target.total() > 0);
+        routes.sort_by(|_, one, _, other| other.target.total().cmp(&one.target.total()));
         routes.truncate(MAX_REPORTED_ROUTES);
         routes
     }
--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -238,7 +238,7 @@
             _ if found_by_peer || evidence.is_faulty() => TrialStage::TakenBack,
             TrialStage::Trial
                 if elapsed >= PROMOTION_FRACTION
-                    && evidence.total.target_total() >= MIN_ANSWERS =>
+                    && evidence.total.target.total() >= MIN_ANSWERS =>
             {
                 TrialStage::Moved
             }
