Describe a version move only when something has changed

Every evaluation, ten times a second, summed up the evidence of all routers once more for a log line that is written at a change only, also long after the move had ended. With it, an accessor that nothing calls goes.

Run: formatter, linter, and the tests version_load, direct_*, handoff and guide (87 pass, the known failure fails).

--- a/src/decision/direct/version_moves.rs
+++ b/src/decision/direct/version_moves.rs
@@ -30,7 +30,7 @@
 }
 
 impl DirectDispatcher {
-    /// Evaluates all version moves.
+    /// Evaluates all version moves; returns those with a change or a request.
     pub fn evaluate_moves(&mut self, now: Instant) -> Vec<MoveStep> {
         let routers = self.peers.router_count(now);
         let services: Vec<ServiceId> = self.trials.keys().cloned().collect();
@@ -42,6 +42,9 @@
                 let counts = trial_counts(&self.peers, trial, now);
                 let change = trial.evaluate(other_running, &counts, routers, now);
                 let request = trial.take_record_request(now);
+                if change == StageChange::Unchanged && request.is_none() {
+                    return None;
+                }
                 Some(describe_step(trial, change, &counts, request, now))
             })
             .collect()
@@ -64,11 +67,6 @@
         Some(describe_step(trial, change, &counts, None, now))
     }
 
-    /// Returns the version move of a service.
-    pub fn trial(&self, service: &ServiceId) -> Option<&VersionTrial> {
-        self.trials.get(service)
-    }
-
     /// Returns this router's counts of all version moves, for the report to peers.
     pub(super) fn report_trials(&mut self, now: Instant) -> Vec<TrialCount> {
         let running: Vec<u32> = self
