--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -17,11 +17,12 @@
 use crate::configuration::{CommitError, ConfigurationChange, read_stored};
 use crate::fleet::{FleetContext, FleetEvent};
 use crate::ids::FencingNumber;
+use crate::lease::JobLease;
 use crate::supervisor::StopSignal;
 
 pub use lease::{MOVES_LEASE, read_fencing};
 
-use lease::{JobLease, lease_condition, lease_write};
+use lease::{LEASE_TERM, MovesLeaseTable, lease_condition, lease_write};
 use moves::{MoveDriver, MoveUpdate};
 
 /// Interval between two rounds of the job; a reported fault is recorded within about one interval.
@@ -50,7 +51,7 @@
 
 impl FleetJob {
     fn new(context: Arc<FleetContext>, traffic: Handle) -> Self {
-        let lease = Some(JobLease::waiting());
+        let lease = Some(JobLease::waiting(LEASE_TERM));
         Self { context, traffic, lease, driver: MoveDriver::default() }
     }
 
@@ -67,11 +68,12 @@
         if !self.context.takes_work() {
             return;
         }
-        let lease = self.lease.take().unwrap_or_else(JobLease::waiting);
+        let lease = self.lease.take().unwrap_or_else(|| JobLease::waiting(LEASE_TERM));
         let context = Arc::clone(&self.context);
-        let refreshed =
-            self.run_on_traffic(async move { lease.refresh(&context, Instant::now()).await }).await;
-        let lease = refreshed.unwrap_or_else(JobLease::waiting);
+        let refreshed = self.run_on_traffic(async move {
+            lease.refresh(&MovesLeaseTable::new(&context), Instant::now()).await
+        });
+        let lease = refreshed.await.unwrap_or_else(|| JobLease::waiting(LEASE_TERM));
         let Some(fencing) = lease.fencing(Instant::now()) else {
             // Evidence is collected by the holder only and starts anew with each lease.
             self.driver = MoveDriver::default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ids;
 pub mod in_flight;
 pub mod jobs;
+pub mod lease;
 pub mod lifecycle;
 pub mod logging;
 pub mod metrics;
--- a/src/store/http_client.rs
+++ b/src/store/http_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{Method, Request, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -58,11 +58,13 @@
     },
 }
 
-/// Status and body of a reply.
+/// Status, headers and body of a reply.
 #[derive(Debug)]
 pub struct PlatformReply {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
     url: String,
@@ -141,16 +143,44 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<PlatformReply, PlatformError> {
+        self.exchange(self.request(method, path, body, [])?, timeout).await
+    }
+
+    /// Sends a request with further headers and reads the complete reply.
+    pub async fn send_with_headers(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        headers: impl IntoIterator<Item = (HeaderName, HeaderValue)>,
+    ) -> Result<PlatformReply, PlatformError> {
+        self.exchange(self.request(method, path, body, headers)?, self.timeout).await
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        headers: impl IntoIterator<Item = (HeaderName, HeaderValue)>,
+    ) -> Result<Request<Full<Bytes>>, PlatformError> {
         let url = format!("{}{path}", self.base);
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(&url)
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .map_err(|error| PlatformError::Malformed {
-                url: url.clone(),
-                cause: error.to_string(),
-            })?;
+            .map_err(|error| PlatformError::Malformed { url, cause: error.to_string() })?;
+        request.headers_mut().extend(headers);
+        Ok(request)
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<PlatformReply, PlatformError> {
+        let url = request.uri().to_string();
         let lost = |cause: String| PlatformError::ReplyLost { url: url.clone(), cause };
         let exchange = async {
             let response = self.client.request(request).await.map_err(|error| {
@@ -160,10 +190,11 @@
                     lost(error.to_string())
                 }
             })?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), self.reply_limit).collect().await;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, self.reply_limit).collect().await;
             let body = body.map_err(|error| lost(error.to_string()))?.to_bytes();
-            Ok(PlatformReply { status, body, url: url.clone() })
+            let (status, headers) = (head.status, head.headers);
+            Ok(PlatformReply { status, headers, body, url: url.clone() })
         };
         tokio::time::timeout(timeout, exchange)
             .await
