Report the teams' usage by one router at a time

Change: one router holds a lease in the store, with a fencing number that also rises over a restore of the store. Routers count the calls that began to run by windows of true time and report them cumulatively to the holder and to the router that is next in line. The holder writes a window down before it sends it, so that a new holder sends the same counts.

Ruled out: a row of counts for each router, release of the lease at a stop, windows by each VM's time of day (docs/design/duties.md).

Tests: duty::*, duties::*.

--- a/src/decision/direct/call_progress.rs
+++ b/src/decision/direct/call_progress.rs
@@ -12,7 +12,7 @@
 use super::version_evidence::AnswerQuality;
 use super::waiting::ChangedUpstreams;
 use crate::decision::quarantine::crash_id;
-use crate::ids::{GrantId, UpstreamId};
+use crate::ids::{GrantId, TeamId, UpstreamId};
 
 impl DirectDispatcher {
     /// Records a statement in the answer to a call; returns what it changes.
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Returns the team of a call in progress whose first event has not come.
+    pub fn unstarted_team(&self, grant: GrantId) -> Option<&TeamId> {
+        let call = self.grants.get(&grant)?;
+        call.team.as_ref().filter(|_| call.first_event_at.is_none())
+    }
+
     /// Records the first event of a call's answer, `waited` after the call was sent. The event was
     /// read about `own_delay` after it arrived at the router.
     pub fn record_first_event(
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -11,6 +11,7 @@
 use super::team_usage::{TeamDemand, TeamUsage};
 use super::version_evidence::MoveEvidence;
 use super::version_trial::TrialStage;
+use crate::decision::duty::{DutyStatus, UsageReport};
 use crate::ids::{
     CallFingerprint, Incarnation, NodeId, ServiceId, StoreRevision, TeamId, UpstreamId, VersionId,
 };
@@ -125,6 +126,15 @@
     /// What it would serve for the callers of other routers.
     #[serde(default)]
     pub offer: Option<HandoffOffer>,
+    /// Its time of day relative to the store's clock in milliseconds, if the fleet has duties.
+    #[serde(default)]
+    pub clock_offset: Option<i64>,
+    /// What it holds of the fleet's duties.
+    #[serde(default)]
+    pub duties: Option<DutyStatus>,
+    /// Usage of its teams; only in reports to the routers that collect it.
+    #[serde(default)]
+    pub usage: Option<UsageReport>,
 }
 
 impl PeerReport {
@@ -146,6 +156,9 @@
             refused: Vec::new(),
             parts: Vec::new(),
             offer: None,
+            clock_offset: None,
+            duties: None,
+            usage: None,
         }
     }
 
@@ -304,6 +317,27 @@
             .collect()
     }
 
+    /// Returns the peers that are alive.
+    pub fn alive_nodes(&self, now: Instant) -> impl Iterator<Item = &NodeId> {
+        self.alive(now).map(|(node, _)| node)
+    }
+
+    /// Returns the clock offsets that the peers report.
+    pub fn clock_offsets(&self, now: Instant) -> impl Iterator<Item = i64> {
+        self.alive(now).filter_map(|(_, peer)| peer.report.clock_offset)
+    }
+
+    /// Returns the address of a peer that is alive.
+    pub fn address_of(&self, node: &NodeId, now: Instant) -> Option<SocketAddr> {
+        self.alive(now).find(|(peer, _)| *peer == node).map(|(_, peer)| peer.report.address)
+    }
+
+    /// Returns the address of the first peer in the order of ids that is alive and not `except`.
+    pub fn first_address(&self, except: Option<&NodeId>, now: Instant) -> Option<SocketAddr> {
+        let others = self.alive(now).filter(|(peer, _)| Some(*peer) != except);
+        others.min_by_key(|(peer, _)| *peer).map(|(_, peer)| peer.report.address)
+    }
+
     /// Returns the addresses of the peers that are alive.
     pub fn addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         self.alive(now).map(|(_, peer)| peer.report.address)
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -19,6 +19,7 @@
 pub mod contacts;
 pub mod direct;
 pub mod dispatch;
+pub mod duty;
 pub mod fair_queue;
 pub mod isolation;
 pub mod lease;
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -12,8 +12,11 @@
 use http::{HeaderMap, Response, StatusCode, request, response};
 
 use crate::decision::direct::{PromptShape, RefusalCause, StatedLoad, TrialStage, UpstreamNotice};
+use crate::decision::duty::{ClosedWindow, UsageRecord};
+use crate::decision::lease::RowVersion;
 use crate::ids::{
-    ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreRevision, UpstreamId, VersionId,
+    ConfigurationVersion, FencingNumber, Incarnation, NodeId, ServiceId, StoreEra, StoreRevision,
+    UpstreamId, VersionId,
 };
 use crate::routing::{ViewBatch, ViewPart};
 
@@ -81,7 +84,61 @@
     pub revision: StoreRevision,
 }
 
-/// Store of the configuration, the upstreams, the members and the records of version moves.
+/// Lease of the duties, as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredLease {
+    /// Router that holds it.
+    pub holder: NodeId,
+    /// Its fencing number.
+    pub fencing: FencingNumber,
+    /// Version of the row.
+    pub version: RowVersion,
+}
+
+/// What the store holds about the duties.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredDuties {
+    /// Era of the store that was read.
+    pub era: StoreEra,
+    /// The lease; `None` if it was never held, and if it cannot be read.
+    pub lease: Option<StoredLease>,
+    /// Record of the closed windows of usage, and the version of its row.
+    pub usage: Option<(UsageRecord, RowVersion)>,
+}
+
+/// Write of the holder of the duties: renews the lease, and records usage with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyWrite {
+    /// Router that holds the lease.
+    pub holder: NodeId,
+    /// Its fencing number.
+    pub fencing: FencingNumber,
+    /// Expected version of the lease's row; 0 if it must not exist.
+    pub expected: RowVersion,
+    /// Record to write, and the expected version of its row.
+    pub usage: Option<(UsageRecord, RowVersion)>,
+}
+
+/// Where and at which version the rows of a [`DutyWrite`] were written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WrittenDuties {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Version of the rows.
+    pub version: RowVersion,
+}
+
+/// Identity of the holder of a duty, which goes with every call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyStamp {
+    /// The router.
+    pub holder: NodeId,
+    /// Its fencing number.
+    pub fencing: FencingNumber,
+}
+
+/// Store of the configuration, the upstreams, the members, the records of version moves and the
+/// duties; receiver of the duties' calls.
 pub trait FleetSource: Send + Sync + 'static {
     /// Reads a part in full.
     fn read(&self, part: ViewPart) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
@@ -119,6 +176,29 @@
         record: &MoveRecord,
         revision: StoreRevision,
     ) -> impl Future<Output = Result<bool, SourceError>> + Send;
+
+    /// Returns the time of the store's monotonic clock; `None` before its first answer.
+    fn store_time(&self) -> Option<Duration>;
+
+    /// Returns the newest era of the store that an answer has stated; 0 before.
+    fn era(&self) -> StoreEra;
+
+    /// Reads the lease of the duties and the record of usage.
+    fn read_duties(&self) -> impl Future<Output = Result<StoredDuties, SourceError>> + Send;
+
+    /// Writes the lease of the duties and the record of usage if their rows have the expected
+    /// versions; `None` when they have not.
+    fn write_duties(
+        &self,
+        write: &DutyWrite,
+    ) -> impl Future<Output = Result<Option<WrittenDuties>, SourceError>> + Send;
+
+    /// Reports the usage of a window. An error says that it was not accepted, or may not have been.
+    fn report_usage(
+        &self,
+        stamp: &DutyStamp,
+        closed: &ClosedWindow,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
 }
 
 /// Metadata in the head of a call.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -12,10 +12,12 @@
 
 use super::adapter::{MemberEntry, MoveRecord};
 use super::decision_log::{log_notice, log_stage, log_verdict};
+use super::duties::DutyView;
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
 use super::follow::CheckSignals;
 use super::observe::GatewayMetrics;
 use super::settings::GatewaySettings;
+use super::usage::UsageState;
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
 use crate::decision::direct::{
@@ -65,6 +67,8 @@
     pub table: Arc<watch::Sender<Option<Arc<RouteTable>>>>,
     /// Channel on which the offers of other routers are published.
     pub offers: Arc<watch::Sender<Vec<HandoffOffer>>>,
+    /// Channel on which the state of the fleet's duties is published.
+    pub duties: Arc<watch::Sender<DutyView>>,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
 }
@@ -114,6 +118,8 @@
     behind_since: Option<Instant>,
     leaving: bool,
     spare_rate: f64,
+    /// State of the duties; `None` when the platform asks for none.
+    usage: Option<UsageState>,
 }
 
 impl ControlState {
@@ -125,6 +131,7 @@
             settings.regions.clone(),
             settings.bounds,
         );
+        let usage = settings.duties.as_ref().map(|duties| UsageState::new(duties, Instant::now()));
         Self {
             context,
             view: FleetView::default(),
@@ -138,6 +145,7 @@
             behind_since: None,
             leaving: false,
             spare_rate: 0.0,
+            usage,
         }
     }
 
@@ -154,6 +162,7 @@
             }
             ControlEvent::FirstEvent { grant, waited, own_delay, stated } => {
                 self.record_stated_load(grant, stated);
+                self.count_start(grant, now.checked_sub(own_delay).unwrap_or(now));
                 self.dispatcher.record_first_event(grant, waited, own_delay, now);
             }
             ControlEvent::Notice { grant, call, notice, status } => {
@@ -164,6 +173,9 @@
             }
             ControlEvent::Ended { grant, outcome, late, writes, stated } => {
                 self.record_stated_load(grant, stated);
+                if matches!(outcome, CallOutcome::Completed | CallOutcome::Failed) {
+                    self.count_start(grant, now);
+                }
                 if matches!(outcome, CallOutcome::Completed | CallOutcome::Abandoned) {
                     let is_complete = outcome == CallOutcome::Completed;
                     self.dispatcher.record_stream(grant, writes, is_complete, now);
@@ -197,7 +209,28 @@
                 // The receiver is gone when the requesting router gave up.
                 let _ = reply.send(self.view.export());
             }
-            ControlEvent::Report(report) => self.dispatcher.record_report(*report, now),
+            ControlEvent::Report(report) => {
+                if let Some(usage) = &mut self.usage {
+                    usage.record_report(&report, now);
+                }
+                self.dispatcher.record_report(*report, now);
+            }
+            ControlEvent::StoreTime { time, at } => {
+                if let Some(usage) = &mut self.usage {
+                    usage.record_store_time(time, at);
+                }
+            }
+            ControlEvent::CloseUsage { after, reply } => {
+                let alive = self.dispatcher.peers().alive_nodes(now);
+                let closed = self.usage.as_mut().and_then(|usage| usage.close_next(after, alive));
+                // The receiver is gone when the process stops.
+                let _ = reply.send(closed);
+            }
+            ControlEvent::DutyStatus(status) => {
+                if let Some(usage) = &mut self.usage {
+                    usage.set_own_status(status);
+                }
+            }
             ControlEvent::Members(members) => self.update_members(members),
             ControlEvent::MoveRecorded(record) => {
                 let MoveRecord { service, order, stage, .. } = record;
@@ -214,6 +247,15 @@
         }
     }
 
+    /// Counts a call that began to run at an upstream, unless it is counted already.
+    fn count_start(&mut self, grant: GrantId, at: Instant) {
+        if let Some(usage) = &mut self.usage
+            && let Some(team) = self.dispatcher.unstarted_team(grant)
+        {
+            usage.record_start(team, at);
+        }
+    }
+
     /// Records that a revision of a part was current, unless a newer one is known.
     fn confirm(&mut self, part: ViewPart, revision: StoreRevision, confirmed_at: Instant) {
         if revision >= self.view.revision(part) {
@@ -271,6 +313,7 @@
         self.fetch_newer_view(now);
         self.request_checks(now);
         self.send_report(now);
+        self.publish_duties(now);
         self.publish_offers(now);
         let metrics = &self.context.metrics;
         self.work_log.update(&mut self.dispatcher, metrics, &self.context.settings, now);
@@ -355,7 +398,31 @@
             ..PeerReport::new(node, settings.peer, incarnation, self.sequence)
         };
         self.dispatcher.fill_report(&mut report, now);
-        let addresses = addresses.into_iter().collect();
+        let (recipients, others) = self.split_usage_recipients(addresses, now);
+        if let Some(usage) = &mut self.usage {
+            usage.fill_report(&mut report, now);
+            if !recipients.is_empty() {
+                let report = usage.with_counts(report.clone());
+                self.queue_report(report, recipients);
+            }
+        }
+        self.queue_report(report, others);
+    }
+
+    /// Returns the routers that get this router's usage with the report that is due, and the others.
+    fn split_usage_recipients(
+        &mut self,
+        addresses: IndexSet<SocketAddr>,
+        now: Instant,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let Some(usage) = &mut self.usage else {
+            return (Vec::new(), addresses.into_iter().collect());
+        };
+        let recipients = usage.take_recipients(self.dispatcher.peers(), now);
+        addresses.into_iter().partition(|address| recipients.contains(address))
+    }
+
+    fn queue_report(&self, report: PeerReport, addresses: Vec<SocketAddr>) {
         if let Err(TrySendError::Full(_)) =
             self.context.outbox.reports.try_send(OutgoingReport { report, addresses })
         {
@@ -363,6 +430,19 @@
         }
     }
 
+    /// Publishes what the task that performs the duties has to know.
+    fn publish_duties(&self, now: Instant) {
+        let Some(usage) = &self.usage else { return };
+        let position = self.dispatcher.peers().count_before(&self.context.settings.node, now);
+        let can_serve = !self.leaving && self.view.configuration().is_some();
+        let view = usage.duty_view(can_serve, position, now);
+        self.context.duties.send_if_modified(|current| {
+            let is_changed = *current != view;
+            *current = view;
+            is_changed
+        });
+    }
+
     /// Returns what this router would serve for the callers of other routers.
     fn offer(&self) -> Option<HandoffOffer> {
         let settings = &self.context.settings;
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -13,7 +13,8 @@
 use crate::decision::direct::{
     CallDecision, CallOutcome, PeerReport, PendingCall, ReceivedLoad, ShedCall, UpstreamNotice,
 };
-use crate::ids::{CallId, GrantId, StoreRevision};
+use crate::decision::duty::{ClosedWindow, DutyStatus};
+use crate::ids::{CallId, GrantId, StoreRevision, UsageWindow};
 use crate::routing::{ViewBatch, ViewPart, ViewSnapshot};
 
 /// Event for the control thread.
@@ -95,6 +96,22 @@
     Report(Box<PeerReport>),
     /// Routers' entries in the store.
     Members(Vec<MemberEntry>),
+    /// Reading of the store's monotonic clock.
+    StoreTime {
+        /// The time.
+        time: Duration,
+        /// When it was read.
+        at: Instant,
+    },
+    /// Request for the next window of usage that can be closed.
+    CloseUsage {
+        /// Last window that is closed.
+        after: UsageWindow,
+        /// Channel for the window.
+        reply: oneshot::Sender<Option<ClosedWindow>>,
+    },
+    /// What this router holds of the duties; `None` when it holds nothing.
+    DutyStatus(Option<DutyStatus>),
     /// Record of a version move in the store.
     MoveRecorded(MoveRecord),
     /// The process is shutting down.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! The gateway: a router that sends calls straight to upstreams.
 //!
 //! Its supervisor starts, in this order: the control thread, the followers of the source, the
-//! membership task, the writer of move records, the fetcher of views, the report exchange and the
+//! membership task, the writer of move records, the duties, the fetcher of views, the report exchange and the
 //! server for other routers, the maintenance of the connection pool, the overload detector, the
 //! readiness endpoint and the callers' server, which also serves connections that other routers hand
 //! over. The `adapter` module is the interface to the platform.
@@ -17,6 +17,7 @@
 mod caller;
 mod control;
 mod decision_log;
+mod duties;
 mod event_frames;
 mod events;
 mod follow;
@@ -34,6 +35,7 @@
 mod relay;
 mod settings;
 mod tracked_body;
+mod usage;
 mod view_log;
 mod work_log;
 
@@ -57,17 +59,19 @@
 use crate::supervisor::{ChildSpec, ControlInbox, StopSignal, SupervisorTree, run_control_thread};
 
 pub use adapter::{
-    AnswerMetadata, CallCodec, CallMetadata, FleetSource, ForwardedCall, GatewayAdapter,
-    GatewayRefusal, HeadError, MemberEntry, MoveRecord, SourceError, StoredMove,
+    AnswerMetadata, CallCodec, CallMetadata, DutyStamp, DutyWrite, FleetSource, ForwardedCall,
+    GatewayAdapter, GatewayRefusal, HeadError, MemberEntry, MoveRecord, SourceError, StoredDuties,
+    StoredLease, StoredMove, WrittenDuties,
 };
 pub use event_frames::{EventFrames, OversizedEvent};
 pub use observe::GatewayMetrics;
-pub use settings::GatewaySettings;
+pub use settings::{DutySettings, GatewaySettings};
 
 use accept::CallerListeners;
 use admit::MEMORY_UNIT;
 use caller::CallCounter;
 use control::{ControlContext, OutboxReceivers, TableWatch, control_channels, run_control};
+use duties::DutyView;
 use events::{ControlEvent, ControlSender};
 use follow::CheckSignals;
 use overload::CallAdmission;
@@ -124,6 +128,7 @@
     sockets: GatewaySockets,
     control_context: ControlContext,
     receivers: OutboxReceivers,
+    duty_view: watch::Receiver<DutyView>,
     starting: StartingDaemon,
     ready: ReadyWatch,
 }
@@ -138,6 +143,7 @@
         let checks = Arc::new(CheckSignals::default());
         let (table_sender, table) = watch::channel(None);
         let (offer_sender, offers) = watch::channel(Vec::new());
+        let (duty_sender, duty_view) = watch::channel(DutyView::default());
         let metrics = Arc::new(GatewayMetrics::default());
         let incarnation = incarnation();
         let (starting, ready) = StartingDaemon::new();
@@ -173,9 +179,10 @@
             checks,
             table: Arc::new(table_sender),
             offers: Arc::new(offer_sender),
+            duties: Arc::new(duty_sender),
             metrics,
         };
-        Ok(Self { context, sockets, control_context, receivers, starting, ready })
+        Ok(Self { context, sockets, control_context, receivers, duty_view, starting, ready })
     }
 
     /// Runs until `stop` is cancelled and all calls have ended.
@@ -191,7 +198,8 @@
     }
 
     fn tree(self) -> SupervisorTree {
-        let Self { context, sockets, control_context, receivers, starting, ready } = self;
+        let Self { context, sockets, control_context, receivers, duty_view, starting, ready } =
+            self;
         let OutboxReceivers { reports, fetches, moves } = receivers;
         let reports = Arc::new(Mutex::new(reports));
         let fetches = Arc::new(Mutex::new(fetches));
@@ -209,6 +217,9 @@
             .child(child(&context, "move-records", move |context, stop| {
                 moves::write_moves(context, Arc::clone(&moves), stop)
             }))
+            .child(child(&context, "duties", move |context, stop| {
+                duties::perform_duties(context, duty_view.clone(), stop)
+            }))
             .child(child(&context, "view-fetches", move |context, stop| {
                 peer_server::fetch_views(context, Arc::clone(&fetches), stop)
             }))
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -86,6 +86,10 @@
     pub reports_dropped: Counter,
     /// Control events that were dropped because the queue was full.
     pub events_dropped: Counter<u64, AtomicU64>,
+    /// Times that this router took over the fleet's duties.
+    pub duty_takeovers: Counter,
+    /// Windows of usage that this router reported.
+    pub usage_reports: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -112,6 +116,8 @@
             view_age: Family::default(),
             reports_dropped: Counter::default(),
             events_dropped: Counter::default(),
+            duty_takeovers: Counter::default(),
+            usage_reports: Counter::default(),
         };
         metrics.register();
         metrics
@@ -121,6 +127,16 @@
 impl GatewayMetrics {
     fn register(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "duty_takeovers",
+            "Times that this router took over the fleet's duties",
+            self.duty_takeovers.clone(),
+        );
+        registry.register(
+            "usage_reports",
+            "Windows of usage that this router reported",
+            self.usage_reports.clone(),
+        );
         registry.register("calls", "Calls by how they ended", self.calls.clone());
         registry.register("sends", "Sends to upstreams by outcome", self.sends.clone());
         registry.register(
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::decision::direct::FleetBounds;
+use crate::decision::duty::WindowSchedule;
 use crate::ids::{DataCentreId, NodeId, RegionId};
 
 /// Memory that the process uses without calls, in bytes.
@@ -51,6 +52,19 @@
     pub stop_grace: Duration,
     /// Bounds that hold for all routers together.
     pub bounds: FleetBounds,
+    /// Duties that one router performs for the fleet; `None` when the platform asks for none.
+    pub duties: Option<DutySettings>,
+}
+
+/// Settings of the duties that one router performs for the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// Whether the usage of the teams is reported.
+    pub reports_usage: bool,
+    /// Windows of the usage.
+    pub schedule: WindowSchedule,
+    /// Term of the holder's lease.
+    pub lease_term: Duration,
 }
 
 impl GatewaySettings {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -72,3 +72,9 @@
 
 /// Position in the store's history of changes. Increases with each transaction.
 pub type StoreRevision = u64;
+
+/// Number of times that the store has come back from an older copy. Only increases.
+pub type StoreEra = u64;
+
+/// Number of a window of usage; window 0 begins at the Unix epoch.
+pub type UsageWindow = u64;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod direct_dispatch;
 mod direct_rules;
 mod drain_schedule;
+mod duty;
 mod edge;
 mod event_stream;
 mod fair_fleet;
