Decode the scaling limits of a service

The number of engines of a service is to be ordered by the fleet, within limits that operators state in the configuration. Nothing read them.

`scaling` of a service (`minimum`, `maximum`, `boot-s`) becomes a checked `ScalingLimits` on `ServiceEntry`.

Test fixtures that build a `ServiceEntry` name the new field.

--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::scaling_limits::ScalingLimits;
 use crate::ids::{
     ConfigurationVersion, DataCentreId, RegionId, RouteId, ServiceId, StoreRevision, TeamId,
     VersionId,
@@ -87,6 +88,9 @@
     pub cold_rate: f64,
     /// Tokens that fit into one upstream's memory; `None` for plain services.
     pub memory_tokens: Option<u64>,
+    /// Limits on the number of its engines, if the fleet orders it.
+    #[serde(default)]
+    pub scaling: Option<ScalingLimits>,
 }
 
 /// A team and the keys of its callers.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod bounds;
 mod entry;
+mod scaling_limits;
 mod table;
 mod view;
 
@@ -14,5 +15,8 @@
     CallKind, CallerLimits, MoveOrder, RouteConfiguration, RouteEntry, RouteTarget, ServiceEntry,
     TeamEntry, UpstreamEntry,
 };
+pub use scaling_limits::{
+    MAX_BOOT_TIME, MAX_ENGINES, RawScalingLimits, ScalingLimits, ScalingLimitsError,
+};
 pub use table::{RouteMatch, RouteTable, TeamKey, select_target};
 pub use view::{FleetView, ViewBatch, ViewChange, ViewPart, ViewSnapshot};
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -31,6 +31,7 @@
         cold_period: Duration::from_secs(3),
         cold_rate: COLD_RATE,
         memory_tokens,
+        scaling: None,
     };
     ViewChange::Configuration(Arc::new(RouteConfiguration {
         version: 1,
--- a/tests/testsuite/support/direct_path.rs
+++ b/tests/testsuite/support/direct_path.rs
@@ -48,6 +48,7 @@
         cold_period: Duration::ZERO,
         cold_rate: 0.0,
         memory_tokens,
+        scaling: None,
     };
     ViewChange::Configuration(Arc::new(RouteConfiguration {
         version: 1,
--- a/tests/testsuite/support/fleet_plan.rs
+++ b/tests/testsuite/support/fleet_plan.rs
@@ -136,6 +136,7 @@
             cold_period: Duration::ZERO,
             cold_rate: 0.0,
             memory_tokens: Some(10_000_000),
+            scaling: None,
         }],
         teams: Vec::new(),
         limits: caller_limits(),
