Decide the number of engines of a service

A service has a fixed number of engines: too few when the demand grows, and paid for when it falls.

`EngineScaler` decides for one service in one data centre by its present engines and the demand that is owed to its teams. It adds engines at once, for the demand expected after the boot time, if the demand has grown all the time. It removes them after 20 to 120 s of low demand, a quarter at most at a time. The ordered number follows from the demand and not from the engines present, so a crashed engine is not ordered twice. A new holder of the duty starts from the engines that serve. A team's demand counts up to its fair share.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -9,8 +9,10 @@
 mod candidates;
 mod capacity;
 mod cold_limiter;
+mod demand_history;
 mod dispatcher;
 mod drain_schedule;
+mod fair_cap;
 mod fleet_changes;
 mod fleet_demand;
 mod handoff;
@@ -21,6 +23,7 @@
 mod part_suspects;
 mod peers;
 mod prefix_cache;
+mod scaling;
 mod selection;
 mod stated_load;
 mod stream_pace;
@@ -54,6 +57,10 @@
 pub use part_suspects::{BrokenCall, PartSuspects, PartVerdict};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
 pub use prefix_cache::PrefixCache;
+pub use scaling::{
+    EngineCounts, EngineScaler, ScalingInput, ScalingOrder, ScalingReason, ScalingSubject,
+    TeamDemandRate,
+};
 pub use stated_load::{CallCounts, LastStatement, ReceivedLoad, StatedLoad, StatementError};
 pub use stream_pace::{EndedStream, StreamPace};
 pub use suspects::SuspectList;
--- a/src/decision/direct/team_usage.rs
+++ b/src/decision/direct/team_usage.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns the max-min fair level of a division of `total` tokens.
-fn max_min_level(demands: &[TeamDemand], total: f64) -> f64 {
+pub(super) fn max_min_level(demands: &[TeamDemand], total: f64) -> f64 {
     let mut demands: Vec<f64> = demands.iter().map(|demand| demand.total()).collect();
     demands.sort_by(f64::total_cmp);
     let mut left = total;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod report;
 mod retry;
 mod routing;
+mod scaling;
 mod settings;
 mod shutdown;
 mod stated_load;
