Give routers the input of scaling decisions

A router knew the teams' work over all services, but not what each service is asked for in a data centre, nor what an engine of it does.

For services with scaling limits, a router counts the work of calls that were admitted, wait, or were refused for lack of capacity, by team, over two seconds, and reports it to its peers with its data centre. `DirectDispatcher::scaling_inputs` sums this up by data centre of the engines; demand of data centres without engines in service is divided among the others. `EngineRate` measures the work of one engine from the admitted work and the utilisation of the slots, and remembers at which utilisation engines lacked capacity. Reports grow by one field; without scaled services it is empty and nothing is counted.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -12,6 +12,7 @@
 use super::load::UpstreamLoad;
 use super::part_suspects::{PartSuspects, PartVerdict};
 use super::peers::{PeerLoad, PeerReport, PeerTable};
+use super::scaling_input::ScaledServices;
 use super::stream_pace::StreamPace;
 use super::suspects::{CRASH_LIMIT, SuspectList};
 use super::team_usage::FairLevel;
@@ -75,6 +76,7 @@
     pub(super) next_grant: GrantId,
     pub(super) demand: FleetDemand,
     work: TeamWork,
+    pub(super) scaling: ScaledServices,
     pub(super) peers: PeerTable,
     pub(super) suspects: SuspectList,
     pub(super) part_suspects: PartSuspects,
@@ -106,6 +108,7 @@
             next_grant: 1,
             demand: FleetDemand::default(),
             work: TeamWork::default(),
+            scaling: ScaledServices::default(),
             changed: ChangedUpstreams::All,
             peers: PeerTable::default(),
             suspects: SuspectList::default(),
@@ -163,6 +166,11 @@
         self.waiting.len()
     }
 
+    /// Returns the pending calls.
+    pub(super) fn pending_calls(&self) -> impl Iterator<Item = &PendingCall> {
+        self.waiting.iter().map(|waiting| &waiting.call)
+    }
+
     /// Returns the number of calls in progress.
     pub fn granted(&self) -> usize {
         self.grants.len()
@@ -203,6 +211,7 @@
             service.pace.adjust(now);
         }
         self.demand.refresh(&self.peers, now);
+        self.refresh_scaled_services(now);
         self.estimate_unread(now);
         self.changed = ChangedUpstreams::All;
         self.part_suspects.evaluate(self.peers.parts(), now)
@@ -239,6 +248,7 @@
             .map(|(id, load)| (Arc::clone(id), load.report()))
             .collect();
         self.demand.fill_report(report, now);
+        report.work = self.service_work(now);
         report.suspects = self.suspects.report();
         report.parts = self.part_suspects.report(now);
         report.trials = self.report_trials(now);
@@ -294,6 +304,7 @@
                 Some(decision) => {
                     self.work.record_decision(&waiting.call, &decision);
                     self.record_lack_of_capacity(&waiting.call, &decision, now);
+                    self.record_service_work(&waiting.call, &decision, now);
                     decisions.push((waiting.call.id, decision));
                 }
                 None => self.waiting.push(waiting),
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -35,6 +35,7 @@
                 }
                 self.services = services;
                 self.demand.set_work_rate(configuration.work_rate);
+                self.update_scaled_services(now);
             }
             ViewChange::TakenOut(data_centre) => {
                 self.taken_out.insert(Arc::clone(data_centre));
--- a/src/decision/direct/fleet_demand.rs
+++ b/src/decision/direct/fleet_demand.rs
@@ -24,6 +24,11 @@
         self.work_rate = work_rate;
     }
 
+    /// Returns the work that all upstreams are stated to do, in tokens per second.
+    pub(super) fn work_rate(&self) -> Option<f64> {
+        self.work_rate
+    }
+
     /// Adds work that this router sent to an upstream; negative for work that was not done.
     pub(super) fn record_sent(&mut self, team: &TeamId, tokens: f64, now: Instant) {
         self.usage.record(team, tokens, now);
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -12,6 +12,7 @@
 mod demand_history;
 mod dispatcher;
 mod drain_schedule;
+mod engine_rate;
 mod fair_cap;
 mod fleet_changes;
 mod fleet_demand;
@@ -24,7 +25,9 @@
 mod peers;
 mod prefix_cache;
 mod scaling;
+mod scaling_input;
 mod selection;
+mod service_demand;
 mod stated_load;
 mod stream_pace;
 mod suspects;
@@ -49,6 +52,7 @@
 pub use cold_limiter::ColdLimiter;
 pub use dispatcher::DirectDispatcher;
 pub use drain_schedule::{DrainSchedule, PlannedSend};
+pub use engine_rate::{EngineRate, EngineSample};
 pub use handoff::{HandoffOffer, HandoffTargets};
 pub use load::UpstreamLoad;
 pub use overload::{CallLimiter, LoadSample, OverloadDetector};
@@ -61,6 +65,7 @@
     EngineCounts, EngineScaler, ScalingInput, ScalingOrder, ScalingReason, ScalingSubject,
     TeamDemandRate,
 };
+pub use service_demand::{ServiceWork, TeamWorkRate};
 pub use stated_load::{CallCounts, LastStatement, ReceivedLoad, StatedLoad, StatementError};
 pub use stream_pace::{EndedStream, StreamPace};
 pub use suspects::SuspectList;
--- a/src/decision/direct/peers.rs
+++ b/src/decision/direct/peers.rs
@@ -8,6 +8,7 @@
 
 use super::handoff::HandoffOffer;
 use super::part_evidence::{PartReport, ReceivedPart};
+use super::service_demand::ServiceWork;
 use super::team_usage::{TeamDemand, TeamUsage};
 use super::version_evidence::MoveEvidence;
 use super::version_trial::TrialStage;
@@ -125,6 +126,9 @@
     /// What it would serve for the callers of other routers.
     #[serde(default)]
     pub offer: Option<HandoffOffer>,
+    /// Recent demand at this router for the services that are scaled.
+    #[serde(default)]
+    pub work: Vec<ServiceWork>,
 }
 
 impl PeerReport {
@@ -146,6 +150,7 @@
             refused: Vec::new(),
             parts: Vec::new(),
             offer: None,
+            work: Vec::new(),
         }
     }
 
@@ -242,6 +247,17 @@
         sums
     }
 
+    /// Returns the reports of the peers that do not leave, up to this age, and when each came.
+    pub(super) fn recent_reports(
+        &self,
+        max_age: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = (&PeerReport, Instant)> {
+        self.alive(now)
+            .map(|(_, peer)| (&peer.report, peer.received_at))
+            .filter(move |(_, received_at)| now.duration_since(*received_at) <= max_age)
+    }
+
     /// Returns the mean time at which the reports of these loads were received; `None` without
     /// such reports.
     pub fn mean_load_time(&self, now: Instant) -> Option<Instant> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod retry;
 mod routing;
 mod scaling;
+mod scaling_input;
 mod settings;
 mod shutdown;
 mod stated_load;
