--- a/tests/testsuite/scaling.rs
+++ b/tests/testsuite/scaling.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    EngineCounts, EngineScaler, ScalingInput, ScalingOrder, ScalingReason, ScalingSubject,
-    TeamDemandRate,
+    EngineCounts, EngineRate, EngineSample, EngineScaler, ScalingInput, ScalingOrder,
+    ScalingReason, ScalingSubject, TeamDemandRate,
 };
 use godwitcrank::routing::{RawScalingLimits, ScalingLimits};
 use googletest::prelude::*;
@@ -401,3 +401,68 @@
     expect_that!(site.desired_numbers().first(), some(eq(&20)));
     expect_that!(site.desired_numbers().last(), some(eq(&2)));
 }
+
+/// Engines that lack capacity as soon as half of their slots are used, and whose rate is measured.
+struct MeasuredSite {
+    site: Site,
+    rate: EngineRate,
+    /// Work that found no capacity.
+    lacking: f64,
+}
+
+impl MeasuredSite {
+    fn run(&mut self, steps: u32, demand: impl Fn(u32) -> f64) {
+        const SAMPLES: u32 = 10;
+        for _ in 0..steps {
+            let asked = demand(self.site.step);
+            let capacity = f64::from(self.site.ready) * ENGINE_RATE;
+            let admitted = asked.min(capacity);
+            // Calls run faster on engines with few of them.
+            let load = admitted / capacity;
+            let sample = EngineSample {
+                ready: self.site.ready,
+                admitted,
+                lacking: asked - admitted,
+                utilisation: 0.5 * load * (0.4 + 0.6 * load),
+            };
+            for index in 0..SAMPLES {
+                self.rate.record(&sample, self.site.now + STEP / SAMPLES * index);
+            }
+            self.lacking += sample.lacking;
+            let engine_rate = self.rate.get();
+            self.site.step_with(|input| input.engine_rate = engine_rate, asked);
+        }
+    }
+}
+
+/// Guards against engines that are removed after each shortage until the next one.
+#[gtest]
+fn decide_measured_rate() {
+    let mut measured =
+        MeasuredSite { site: Site::new(5), rate: EngineRate::default(), lacking: 0.0 };
+    measured.run(120, |_| 7_000.0);
+    measured.lacking = 0.0;
+    measured.run(900, |_| 7_000.0);
+    expect_that!(measured.lacking, eq(0.0));
+    expect_that!(measured.site.reversals(), le(1), "{:?}", measured.site.orders);
+    expect_that!(measured.site.billed.last(), some(all!(ge(&8), le(&12))));
+}
+
+/// Guards against a measured rate with which orders follow a wave too late or not at all.
+#[gtest]
+fn decide_measured_rate_wave() {
+    const PERIOD: u32 = 240;
+    let wave = |step: u32| {
+        let phase = f64::from(step) / f64::from(PERIOD) * std::f64::consts::TAU;
+        6_000.0 + 3_000.0 * phase.sin()
+    };
+    let mut measured =
+        MeasuredSite { site: Site::new(8), rate: EngineRate::default(), lacking: 0.0 };
+    measured.run(PERIOD, wave);
+    measured.lacking = 0.0;
+    measured.run(PERIOD * 4, wave);
+    let asked: f64 = (PERIOD..PERIOD * 5).map(wave).sum();
+    expect_that!(measured.lacking / asked, le(0.002));
+    expect_that!(measured.site.reversals(), le(12), "{:?}", measured.site.orders);
+    expect_that!(measured.site.billed.iter().max(), some(le(&16)));
+}
