Bound what a shortage of another cause can order

Calls may be refused while engines have nearly nothing to do, for example while they restart. The use of their slots at that time counted as full use from 0.1 on, so that up to ten times the engines could be ordered for the demand of the following minutes. The bound is 0.25 now.

--- a/src/decision/direct/engine_rate.rs
+++ b/src/decision/direct/engine_rate.rs
@@ -29,8 +29,9 @@
 /// ever.
 const SHORTAGE_MEMORY: Duration = Duration::from_secs(600);
 
-/// Lowest utilisation at which engines are believed to lack capacity.
-const MIN_FULL_UTILISATION: f64 = 0.1;
+/// Lowest utilisation at which engines are believed to lack capacity. It bounds how many engines
+/// too many a shortage of another cause can order.
+const MIN_FULL_UTILISATION: f64 = 0.25;
 
 /// State of all engines of a service at an instant.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/tests/testsuite/scaling.rs
+++ b/tests/testsuite/scaling.rs
@@ -6,6 +6,7 @@
     EngineCounts, EngineRate, EngineSample, EngineScaler, ScalingInput, ScalingOrder,
     ScalingReason, ScalingSubject, TeamDemandRate,
 };
+use godwitcrank::protocol::{decode_message, encode_message};
 use godwitcrank::routing::{RawScalingLimits, ScalingLimits};
 use googletest::prelude::*;
 
@@ -332,6 +333,32 @@
     expect_that!(site.desired_numbers(), eq(&vec![15]));
 }
 
+/// Guards against removing engines because the last of many reports is complete.
+#[gtest]
+fn decide_complete_once() {
+    let mut site = Site::new(8);
+    for step in 0..120 {
+        site.step_with(|input| input.is_complete = step % 15 == 14, 1_000.0);
+    }
+    expect_that!(site.orders, is_empty());
+}
+
+/// Guards against limits from another router that contradict each other.
+#[gtest]
+fn decode_limits_contradictory_refuses() {
+    let decode = |minimum, maximum, boot_time| {
+        let raw = RawScalingLimits { minimum, maximum, boot_time };
+        let bytes = encode_message(&raw).expect("the limits can be encoded");
+        decode_message::<ScalingLimits>(&bytes).ok()
+    };
+    let hour = Duration::from_secs(3_600);
+    expect_that!(decode(1, 10_000, hour).map(ScalingLimits::maximum), some(eq(10_000)));
+    expect_that!(decode(2, 1, hour), none());
+    expect_that!(decode(0, 0, hour), none());
+    expect_that!(decode(0, 10_001, hour), none());
+    expect_that!(decode(0, 1, hour + Duration::from_nanos(1)), none());
+}
+
 /// Guards against a new holder that orders by what it does not know yet.
 #[gtest]
 fn decide_new_holder() {
--- a/tests/testsuite/scaling_input.rs
+++ b/tests/testsuite/scaling_input.rs
@@ -8,6 +8,7 @@
     PeerReport, PendingCall, PromptPart, PromptShape, ScalingInput, ServiceWork, TeamWorkRate,
 };
 use godwitcrank::ids::CallId;
+use godwitcrank::protocol::decode_message;
 use godwitcrank::routing::{RawScalingLimits, RouteConfiguration, UpstreamEntry, ViewChange};
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -122,6 +123,19 @@
     expect_that!(input(&dispatcher, "caerdydd", later).age, eq(Duration::from_millis(2_200)));
 }
 
+/// Guards against demand that is lost on the way between routers.
+#[gtest]
+fn fill_report_work_is_received() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(true, now);
+    send(&mut dispatcher, call(1, "clocks", now), now);
+    let mut report = PeerReport::new("router-1".into(), ([127, 0, 0, 1], 9001).into(), 1, 1);
+    dispatcher.fill_report(&mut report, now);
+    let bytes = rmp_serde::to_vec(&report).expect("the report can be encoded");
+    let received: PeerReport = decode_message(&bytes).expect("the report can be decoded");
+    expect_that!(received.work, eq(&vec![work("caerdydd", 500, 0)]));
+}
+
 /// Guards against demand that nobody serves: that of a data centre that is taken out, and that of
 /// one without engines.
 #[gtest]
@@ -256,3 +270,18 @@
     }
     expect_that!(rate.get(), some(all!(gt(750.0), lt(1_100.0))));
 }
+
+/// Guards against engines that count as fully used because calls were refused for another reason
+/// while they had nearly nothing to do.
+#[gtest]
+fn record_sample_shortage_of_idle_engines() {
+    const TICK: Duration = Duration::from_millis(100);
+    let start = Instant::now();
+    let mut rate = EngineRate::default();
+    for tick in 0..600 {
+        let (lacking, utilisation) = if tick < 100 { (400.0, 0.02) } else { (0.0, 0.05) };
+        let sample = EngineSample { ready: 4, admitted: 400.0, lacking, utilisation };
+        rate.record(&sample, start + TICK * tick);
+    }
+    expect_that!(rate.get(), some(gt(250.0)));
+}
