Forget data centres without engines

A data centre that had an engine of a service once counted as its host for ever, also one that an odd entry named. It got a part of the demand that comes from elsewhere, for which no engine was then ordered.

--- a/src/decision/direct/scaling_input.rs
+++ b/src/decision/direct/scaling_input.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::dispatcher::DirectDispatcher;
 use super::engine_rate::{EngineRate, EngineSample};
@@ -16,14 +16,19 @@
 /// Age from which on a peer's report of demand does not count.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
+/// Time after its last engine of a service for which a data centre counts as one that has engines.
+/// It covers a crash of all of them and their boot. Entries of unknown data centres, which other
+/// programs may write, don't count for ever.
+const HOST_TTL: Duration = Duration::from_secs(600);
+
 /// What a router knows of a service that is scaled.
 #[derive(Debug)]
 pub(super) struct ScaledService {
     limits: ScalingLimits,
     pub(super) demand: DemandRecorder,
     rate: EngineRate,
-    /// Data centres that have had an engine of the service.
-    hosts: IndexSet<DataCentreId>,
+    /// Data centres that had an engine of the service lately, and when they last had.
+    hosts: IndexMap<DataCentreId, Instant>,
 }
 
 /// The services that are scaled.
@@ -108,8 +113,8 @@
     ) -> Vec<(ScalingSubject, ScalingInput)> {
         let demand = self.gather_demand(service, now);
         let hosts: Vec<&DataCentreId> =
-            state.hosts.iter().filter(|host| !self.taken_out.contains(*host)).collect();
-        let inputs = state.hosts.iter().map(|data_centre| {
+            state.hosts.keys().filter(|host| !self.taken_out.contains(*host)).collect();
+        let inputs = state.hosts.keys().map(|data_centre| {
             let is_taken_out = self.taken_out.contains(data_centre);
             let demand_here =
                 if is_taken_out { Vec::new() } else { demand.demand_at(data_centre, &hosts) };
@@ -190,7 +195,7 @@
                 limits,
                 demand: DemandRecorder::new(now),
                 rate: EngineRate::default(),
-                hosts: IndexSet::new(),
+                hosts: IndexMap::new(),
             });
             scaled.insert(service, ScaledService { limits, ..state });
         }
@@ -210,7 +215,8 @@
                 .collect();
             if let Some(state) = self.scaling.services.get_mut(service) {
                 state.rate.record(&sample, now);
-                state.hosts.extend(hosts);
+                state.hosts.extend(hosts.into_iter().map(|host| (host, now)));
+                state.hosts.retain(|_, seen_at| now.duration_since(*seen_at) < HOST_TTL);
                 state.demand.expire(now);
             }
         }
--- a/tests/testsuite/scaling_input.rs
+++ b/tests/testsuite/scaling_input.rs
@@ -253,6 +253,22 @@
     expect_that!(rate_at(0.01, 0.0), none());
 }
 
+/// Guards against a data centre that is forgotten while all its engines boot again, and against one
+/// that an odd entry names and that counts for ever.
+#[gtest]
+fn scaling_inputs_engines_gone() {
+    let now = Instant::now();
+    let mut dispatcher = fleet(true, now);
+    dispatcher.apply(&ViewChange::UpstreamGone("i-1".into()), now);
+    let count = |dispatcher: &mut DirectDispatcher, seconds: u64| {
+        let later = now + Duration::from_secs(seconds);
+        dispatcher.refresh_from_peers(later);
+        dispatcher.scaling_inputs(later).len()
+    };
+    expect_that!(count(&mut dispatcher, 599), eq(2));
+    expect_that!(count(&mut dispatcher, 600), eq(1));
+}
+
 /// Guards against a rate that rises after each shortage, so that engines are removed until the next
 /// one: these engines lack capacity while half of their slots are free.
 #[gtest]
