--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -9,8 +9,11 @@
 mod candidates;
 mod capacity;
 mod cold_limiter;
+mod demand_history;
 mod dispatcher;
 mod drain_schedule;
+mod engine_rate;
+mod fair_cap;
 mod fleet_changes;
 mod fleet_demand;
 mod handoff;
@@ -22,7 +25,10 @@
 mod peers;
 mod prefix_cache;
 mod read_rate;
+mod scaling;
+mod scaling_input;
 mod selection;
+mod service_demand;
 mod stated_load;
 mod stream_pace;
 mod suspects;
@@ -47,6 +53,7 @@
 pub use cold_limiter::ColdLimiter;
 pub use dispatcher::DirectDispatcher;
 pub use drain_schedule::{DrainSchedule, PlannedSend};
+pub use engine_rate::{EngineRate, EngineSample};
 pub use handoff::{HandoffOffer, HandoffTargets};
 pub use load::UpstreamLoad;
 pub use overload::{CallLimiter, LoadSample, OverloadDetector};
@@ -56,6 +63,11 @@
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
 pub use prefix_cache::PrefixCache;
 pub use read_rate::ReadRate;
+pub use scaling::{
+    EngineCounts, EngineScaler, ScalingInput, ScalingOrder, ScalingReason, ScalingSubject,
+    TeamDemandRate,
+};
+pub use service_demand::{ServiceWork, TeamWorkRate};
 pub use stated_load::{
     CallCounts, LastStatement, ReceivedLoad, Slowdown, StatedLoad, StatementError,
 };
