Send the orders of engines from the router that performs the duties

Cause: the scaling decision had no caller.

Change: the holder of the duties asks the control thread for the inputs once a second, decides for each service and data centre, and sends what is due with its fencing number. An order without an answer is decided anew; a refused one stays due.

--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -11,7 +11,9 @@
 use derive_more::{Display, Error};
 use http::{HeaderMap, Response, StatusCode, request, response};
 
-use crate::decision::direct::{PromptShape, RefusalCause, StatedLoad, TrialStage, UpstreamNotice};
+use crate::decision::direct::{
+    PromptShape, RefusalCause, ScalingOrder, StatedLoad, TrialStage, UpstreamNotice,
+};
 use crate::decision::duty::{ClosedWindow, UsageRecord};
 use crate::decision::lease::RowVersion;
 use crate::ids::{
@@ -137,6 +139,15 @@
     pub fencing: FencingNumber,
 }
 
+/// Answer to the call of a duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DutyAnswer {
+    /// The call took effect.
+    Accepted,
+    /// The call had no effect and was answered with this status.
+    Refused(StatusCode),
+}
+
 /// Store of the configuration, the upstreams, the members, the records of version moves and the
 /// duties; receiver of the duties' calls.
 pub trait FleetSource: Send + Sync + 'static {
@@ -193,12 +204,19 @@
         write: &DutyWrite,
     ) -> impl Future<Output = Result<Option<WrittenDuties>, SourceError>> + Send;
 
-    /// Reports the usage of a window. An error says that it was not accepted, or may not have been.
+    /// Reports the usage of a window. After an error it may have been accepted.
     fn report_usage(
         &self,
         stamp: &DutyStamp,
         closed: &ClosedWindow,
-    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+    ) -> impl Future<Output = Result<DutyAnswer, SourceError>> + Send;
+
+    /// Orders a number of engines. After an error it may have been accepted.
+    fn order_engines(
+        &self,
+        stamp: &DutyStamp,
+        order: &ScalingOrder,
+    ) -> impl Future<Output = Result<DutyAnswer, SourceError>> + Send;
 }
 
 /// Metadata in the head of a call.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -226,6 +226,10 @@
                 // The receiver is gone when the process stops.
                 let _ = reply.send(closed);
             }
+            ControlEvent::ScalingInputs(reply) => {
+                // The receiver is gone when the process stops.
+                let _ = reply.send(self.dispatcher.scaling_inputs(now));
+            }
             ControlEvent::DutyStatus(status) => {
                 if let Some(usage) = &mut self.usage {
                     usage.set_own_status(status);
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -1,18 +1,20 @@
 //! Performs the duties of one router for the whole fleet: acquires their lease, closes windows of
-//! usage, writes them down and reports them to the platform.
+//! usage, writes them down and reports them to the platform, and orders engines.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
+use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
 use super::GatewayContext;
 use super::adapter::{
-    DutyStamp, DutyWrite, FleetSource, GatewayAdapter, SourceError, StoredDuties,
+    DutyAnswer, DutyStamp, DutyWrite, FleetSource, GatewayAdapter, SourceError, StoredDuties,
 };
 use super::events::ControlEvent;
 use super::settings::DutySettings;
+use crate::decision::direct::{EngineScaler, ScalingOrder, ScalingSubject};
 use crate::decision::duty::{ClockContinuity, ClosedWindow, DutyStatus, UsageRecord};
 use crate::decision::lease::{LeaseClaim, LeaseRow, RowVersion};
 use crate::ids::{FencingNumber, NodeId, StoreEra, UsageWindow};
@@ -33,6 +35,12 @@
 /// era is above them: a store that was restored from an older copy may have forgotten numbers.
 const ERA_SHIFT: u32 = 20;
 
+/// Time between two decisions about the numbers of engines.
+const SCALING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of orders in one round; the others follow in the next one.
+const MAX_ORDERS: usize = 8;
+
 /// Time after which a window that the platform does not accept is given up, in multiples of the
 /// time until its report is due.
 const GIVE_UP_FACTOR: u32 = 3;
@@ -147,6 +155,10 @@
     closed_through: UsageWindow,
     /// Closed windows that the platform has not accepted yet.
     unsent: VecDeque<ClosedWindow>,
+    /// Decisions about the numbers of engines, since the lease was acquired.
+    scalers: IndexMap<ScalingSubject, EngineScaler>,
+    /// When they were last made.
+    scaled_at: Option<Instant>,
 }
 
 struct DutyRunner<A: GatewayAdapter> {
@@ -194,6 +206,9 @@
             }
             self.announce();
             self.send_windows(view).await;
+            if self.settings.orders_engines {
+                self.order_engines().await;
+            }
         }
         self.announce();
     }
@@ -281,6 +296,8 @@
             closed_through,
             unsent: record.closed.iter().cloned().collect(),
             known: KnownRecord { record, version: version.unwrap_or_default() },
+            scalers: IndexMap::new(),
+            scaled_at: None,
         });
     }
 
@@ -354,11 +371,17 @@
             let sending = self.context.adapter.source().report_usage(&stamp, closed);
             let calls: u64 = closed.counts.values().sum();
             match tokio::time::timeout(CALL_TIMEOUT, sending).await {
-                Ok(Ok(())) => {
+                Ok(Ok(DutyAnswer::Accepted)) => {
                     log::info!(window = closed.window, fencing, calls; "usage reported");
                     self.context.metrics.usage_reports.inc();
                     held.unsent.pop_front();
                 }
+                Ok(Ok(DutyAnswer::Refused(status))) => {
+                    log::info!(
+                        window = closed.window, fencing, status:% = status; "usage refused"
+                    );
+                    return;
+                }
                 Ok(Err(error)) => {
                     log::info!(window = closed.window, fencing; "usage not accepted yet: {error}");
                     return;
@@ -371,6 +394,59 @@
         }
     }
 
+    /// Decides about the numbers of engines and sends the orders that are due.
+    async fn order_engines(&mut self) {
+        let now = Instant::now();
+        let Some(held) = &mut self.held else { return };
+        if held.scaled_at.is_some_and(|at| now - at < SCALING_INTERVAL) {
+            return;
+        }
+        held.scaled_at = Some(now);
+        let (reply, inputs) = oneshot::channel();
+        self.context.send_event(ControlEvent::ScalingInputs(reply));
+        let Ok(inputs) = inputs.await else { return };
+        let Some(held) = &mut self.held else { return };
+        let now = Instant::now();
+        let orders: Vec<ScalingOrder> = inputs
+            .into_iter()
+            .filter_map(|(subject, input)| {
+                let scaler = held
+                    .scalers
+                    .entry(subject.clone())
+                    .or_insert_with(|| EngineScaler::new(subject));
+                scaler.decide(&input, now)
+            })
+            .collect();
+        for order in orders.into_iter().take(MAX_ORDERS) {
+            self.send_order(&order).await;
+        }
+    }
+
+    async fn send_order(&mut self, order: &ScalingOrder) {
+        let Some(fencing) = self.current_fencing() else { return };
+        let stamp = DutyStamp { holder: NodeId::clone(&self.context.settings.node), fencing };
+        let sending = self.context.adapter.source().order_engines(&stamp, order);
+        let answer = tokio::time::timeout(CALL_TIMEOUT, sending).await;
+        let scalers = self.held.as_mut().map(|held| &mut held.scalers);
+        let Some(scaler) = scalers.and_then(|scalers| scalers.get_mut(&order.subject)) else {
+            return;
+        };
+        match answer {
+            Ok(Ok(DutyAnswer::Accepted)) => {
+                log::info!(fencing, order:% = order; "engines ordered");
+                self.context.metrics.engine_orders.inc();
+                scaler.record_accepted(order, Instant::now());
+            }
+            Ok(Ok(DutyAnswer::Refused(status))) => {
+                log::info!(fencing, order:% = order, status:% = status; "order of engines refused");
+            }
+            Ok(Err(_)) | Err(_) => {
+                log::info!(fencing, order:% = order; "order of engines not answered");
+                scaler.record_unconfirmed();
+            }
+        }
+    }
+
     /// Returns the fencing number for a call that is sent now, if the lease outlasts the call.
     fn current_fencing(&mut self) -> Option<FencingNumber> {
         if !self.continuity.advanced_alike(Instant::now(), SystemTime::now()) {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -11,7 +11,8 @@
 use super::observe::GatewayMetrics;
 use super::view_log::ViewOrigin;
 use crate::decision::direct::{
-    CallDecision, CallOutcome, PeerReport, PendingCall, ReceivedLoad, ShedCall, UpstreamNotice,
+    CallDecision, CallOutcome, PeerReport, PendingCall, ReceivedLoad, ScalingInput, ScalingSubject,
+    ShedCall, UpstreamNotice,
 };
 use crate::decision::duty::{ClosedWindow, DutyStatus};
 use crate::ids::{CallId, GrantId, StoreRevision, UsageWindow};
@@ -110,6 +111,8 @@
         /// Channel for the window.
         reply: oneshot::Sender<Option<ClosedWindow>>,
     },
+    /// Request for what decisions about the numbers of engines rest on.
+    ScalingInputs(oneshot::Sender<Vec<(ScalingSubject, ScalingInput)>>),
     /// What this router holds of the duties; `None` when it holds nothing.
     DutyStatus(Option<DutyStatus>),
     /// Record of a version move in the store.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,9 +59,9 @@
 use crate::supervisor::{ChildSpec, ControlInbox, StopSignal, SupervisorTree, run_control_thread};
 
 pub use adapter::{
-    AnswerMetadata, CallCodec, CallMetadata, DutyStamp, DutyWrite, FleetSource, ForwardedCall,
-    GatewayAdapter, GatewayRefusal, HeadError, MemberEntry, MoveRecord, SourceError, StoredDuties,
-    StoredLease, StoredMove, WrittenDuties,
+    AnswerMetadata, CallCodec, CallMetadata, DutyAnswer, DutyStamp, DutyWrite, FleetSource,
+    ForwardedCall, GatewayAdapter, GatewayRefusal, HeadError, MemberEntry, MoveRecord, SourceError,
+    StoredDuties, StoredLease, StoredMove, WrittenDuties,
 };
 pub use event_frames::{EventFrames, OversizedEvent};
 pub use observe::GatewayMetrics;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -92,6 +92,8 @@
     pub duty_takeovers: Counter,
     /// Windows of usage that this router reported.
     pub usage_reports: Counter,
+    /// Orders of engines that the platform accepted from this router.
+    pub engine_orders: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -121,6 +123,7 @@
             events_dropped: Counter::default(),
             duty_takeovers: Counter::default(),
             usage_reports: Counter::default(),
+            engine_orders: Counter::default(),
         };
         metrics.register();
         metrics
@@ -140,6 +143,11 @@
             "Windows of usage that this router reported",
             self.usage_reports.clone(),
         );
+        registry.register(
+            "engine_orders",
+            "Orders of engines that the platform accepted from this router",
+            self.engine_orders.clone(),
+        );
         registry.register("calls", "Calls by how they ended", self.calls.clone());
         registry.register("sends", "Sends to upstreams by outcome", self.sends.clone());
         registry.register(
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -61,6 +61,8 @@
 pub struct DutySettings {
     /// Whether the usage of the teams is reported.
     pub reports_usage: bool,
+    /// Whether the numbers of engines are ordered.
+    pub orders_engines: bool,
     /// Windows of the usage.
     pub schedule: WindowSchedule,
     /// Term of the holder's lease.
