Follow a store that was restored from an older copy

In an outage the store may come back from a copy that is some seconds old. Row versions then go back and are given out again. Routers ignored all rows until the version had passed the one that they knew, since the header Store-Era was not read.

A store revision now consists of era and row version, compared in this order in the view, in reports, for freshness, offers and orders of version moves. Without an era it is encoded as before. Every answer delivers its era; a new one makes the router read both parts whole and write its member row. The view keeps ready upstreams without a row for 2.5 s, data centres that are out and orders of moves until a row of them is read, for 30 s at most, and ignores rows that are older than a withdrawal. A known final record of a move is written again, and no new one for 2 s.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -17,14 +17,14 @@
 use super::team_usage::FairLevel;
 use super::team_work::TeamWork;
 use super::upstream_notices::{UpstreamNotices, UpstreamStart};
-use super::version_trial::VersionTrial;
+use super::version_trial::{TrialStage, VersionTrial};
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
 use crate::ids::{
     CallFingerprint, CallId, DataCentreId, GrantId, NodeId, PromptPartId, RegionId, RouteId,
     ServiceId, TeamId, UpstreamId,
 };
-use crate::routing::ServiceEntry;
+use crate::routing::{MoveOrder, ServiceEntry};
 
 /// A service, its retry budget, and the pace of its streams.
 #[derive(Debug)]
@@ -69,6 +69,8 @@
     pub(super) upstreams: IndexMap<UpstreamId, UpstreamLoad>,
     pub(super) taken_out: IndexSet<DataCentreId>,
     pub(super) trials: IndexMap<ServiceId, VersionTrial>,
+    /// Last recorded end of a move of each service whose order is no longer in force.
+    pub(super) ended_moves: IndexMap<ServiceId, (MoveOrder, TrialStage)>,
     waiting: Vec<WaitingCall>,
     pub(super) changed: ChangedUpstreams,
     pub(super) grants: IndexMap<GrantId, GrantedCall>,
@@ -82,6 +84,7 @@
     /// Time for which the last first event lay at this router before it was read.
     pub(super) own_delay: Duration,
     pub(super) store_recovered_at: Option<Instant>,
+    store_restored_at: Option<Instant>,
 }
 
 impl DirectDispatcher {
@@ -101,6 +104,7 @@
             upstreams: IndexMap::new(),
             taken_out: IndexSet::new(),
             trials: IndexMap::new(),
+            ended_moves: IndexMap::new(),
             waiting: Vec::new(),
             grants: IndexMap::new(),
             next_grant: 1,
@@ -113,6 +117,7 @@
             notices: UpstreamNotices::default(),
             own_delay: Duration::ZERO,
             store_recovered_at: None,
+            store_restored_at: None,
         }
     }
 
@@ -173,6 +178,16 @@
         self.store_recovered_at = Some(now);
     }
 
+    /// Records that the store was restored from an older copy.
+    pub fn record_store_restore(&mut self, now: Instant) {
+        self.store_restored_at = Some(now);
+    }
+
+    /// Returns whether the store was restored less than `time` ago.
+    pub(super) fn is_restored_within(&self, time: Duration, now: Instant) -> bool {
+        self.store_restored_at.is_some_and(|at| now.saturating_duration_since(at) < time)
+    }
+
     /// Records a report of another router and updates the load of its upstreams.
     pub fn record_report(&mut self, report: PeerReport, now: Instant) {
         let Some(change) = self.peers.record(report, now) else { return };
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -12,7 +12,7 @@
 use super::waiting::ChangedUpstreams;
 use super::window::RetryBudget;
 use crate::ids::{DataCentreId, UpstreamId};
-use crate::routing::{MoveOrder, UpstreamEntry, ViewChange};
+use crate::routing::{MoveOrder, ORDER_HOLD, UpstreamEntry, ViewChange};
 
 /// Time after an outage of the store during which upstreams are kept although their entries
 /// disappear. Entries of live upstreams that expired during the outage are written again by then.
@@ -45,18 +45,48 @@
             }
             ViewChange::MoveOrdered(order) => self.start_trial(order, now),
             ViewChange::MoveEnded(service) => {
-                self.trials.shift_remove(service);
+                if let Some(trial) = self.trials.shift_remove(service) {
+                    self.keep_ended_move(trial);
+                }
             }
             ViewChange::Upstream(id, entry) => self.update_upstream(id, entry, now),
             ViewChange::UpstreamGone(id) => self.remove_upstream(id, now),
         }
     }
 
+    /// Starts the move of an order, unless it is known. After a restore of the store, an order with
+    /// the same target is the same one, although its revision is another.
     fn start_trial(&mut self, order: &MoveOrder, now: Instant) {
-        let known = self.trials.get(&order.service).is_some_and(|trial| trial.order() == order);
-        if !known {
-            let trial = VersionTrial::new(order.clone(), now);
-            self.trials.insert(Arc::clone(&order.service), trial);
+        let is_restored = self.is_restored_within(ORDER_HOLD, now);
+        if let Some(trial) = self.trials.get_mut(&order.service) {
+            let known = trial.order();
+            if known == order {
+                return;
+            }
+            let is_written_again = known.revision.era != order.revision.era || is_restored;
+            if known.target == order.target && is_written_again {
+                trial.renew_order(order.clone());
+                return;
+            }
+        }
+        let ended = self.ended_moves.get(&order.service).filter(|(ended, _)| {
+            ended.target == order.target && ended.revision.era < order.revision.era && is_restored
+        });
+        let trial = match ended {
+            Some((_, stage)) => VersionTrial::recorded(order.clone(), *stage, now),
+            None => VersionTrial::new(order.clone(), now),
+        };
+        if let Some(replaced) = self.trials.insert(Arc::clone(&order.service), trial) {
+            self.keep_ended_move(replaced);
+        }
+    }
+
+    /// Remembers the end of a move whose order is gone: a restored store may have the order again
+    /// and not the record.
+    fn keep_ended_move(&mut self, trial: VersionTrial) {
+        if trial.is_recorded() {
+            let order = trial.order();
+            self.ended_moves.insert(Arc::clone(&order.service), (order.clone(), trial.stage()));
         }
     }
 
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -113,7 +113,7 @@
     ) -> Option<CandidateSet> {
         let trial = self.trials.get_mut(&call.service)?;
         let load = trial.trial_load(of_target.len(), now)?;
-        let order = trial.order().revision;
+        let order = trial.order().revision.version;
         if !trial.count_call(load) {
             return None;
         }
--- a/src/decision/direct/version_moves.rs
+++ b/src/decision/direct/version_moves.rs
@@ -1,7 +1,7 @@
 //! Evaluates the version moves of a router's services.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
@@ -12,6 +12,10 @@
 use crate::ids::{NodeId, ServiceId, StoreRevision};
 use crate::routing::MoveOrder;
 
+/// Time after a restore of the store for which no move is newly recorded as ended. A router that
+/// knows of another end, whose record the store has lost, writes that again meanwhile.
+const RECORD_HOLD: Duration = Duration::from_secs(2);
+
 /// Outcome of one evaluation of a version move.
 #[derive(Clone, Debug)]
 pub struct MoveStep {
@@ -34,6 +38,7 @@
     pub fn evaluate_moves(&mut self, now: Instant) -> Vec<MoveStep> {
         let routers = self.peers.router_count(now);
         let services: Vec<ServiceId> = self.trials.keys().cloned().collect();
+        let may_record = !self.is_restored_within(RECORD_HOLD, now);
         services
             .iter()
             .filter_map(|service| {
@@ -41,7 +46,9 @@
                 let trial = self.trials.get_mut(service)?;
                 let counts = trial_counts(&self.peers, trial, now);
                 let change = trial.evaluate(other_running, &counts, routers, now);
-                let request = trial.take_record_request(now);
+                let request = (may_record || trial.is_recorded())
+                    .then(|| trial.take_record_request(now))
+                    .flatten();
                 if change == StageChange::Unchanged && request.is_none() {
                     return None;
                 }
--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -94,6 +94,8 @@
     stage: TrialStage,
     /// Whether the store's record names the stage, which then is final.
     is_recorded: bool,
+    /// Whether the record has to be written again, since the store may have lost it.
+    is_lost: bool,
     /// Last requested record, and when it was requested.
     requested: Option<(TrialStage, Instant)>,
     evidence: EvidenceCounter,
@@ -109,12 +111,28 @@
             ordered_at,
             stage: TrialStage::Unread,
             is_recorded: false,
+            is_lost: false,
             requested: None,
             evidence: EvidenceCounter::new(),
             due_calls: 0.0,
         }
     }
 
+    /// Creates a move that was recorded with a final stage before the store was restored; the record
+    /// has to be written again.
+    pub fn recorded(order: MoveOrder, stage: TrialStage, now: Instant) -> Self {
+        Self { stage, is_recorded: true, is_lost: true, ..Self::new(order, now) }
+    }
+
+    /// Takes over another revision of the same order, which was written again after the store was
+    /// restored. A final record has to be written again, too: it may be lost, and one with a lower
+    /// revision would be taken for that of an earlier order.
+    pub fn renew_order(&mut self, order: MoveOrder) {
+        self.order = order;
+        self.is_lost = self.is_recorded;
+        self.requested = None;
+    }
+
     /// Order of the move.
     pub fn order(&self) -> &MoveOrder {
         &self.order
@@ -134,6 +152,7 @@
     /// stays, and goes before what this router found itself.
     pub fn apply_recorded(&mut self, stage: TrialStage) -> StageChange {
         if self.is_recorded {
+            self.is_lost &= !stage.is_final();
             return StageChange::Unchanged;
         }
         self.is_recorded = stage.is_final();
@@ -195,11 +214,13 @@
         }
     }
 
-    /// Returns whether a peer's counts belong to the same order.
+    /// Returns whether a peer's counts belong to the same order. The peer may have read it in another
+    /// era of the store.
     pub fn matches(&self, count: &TrialCount) -> bool {
+        let own = self.order.revision;
         count.service == self.order.service
             && count.target == self.order.target
-            && count.order == self.order.revision
+            && (count.order == own || count.order.era != own.era)
     }
 
     /// Returns the evidence of this router and its peers.
@@ -263,7 +284,8 @@
     /// is repeated after a pause, since the store may be away.
     pub fn take_record_request(&mut self, now: Instant) -> Option<TrialStage> {
         let wanted = match self.stage {
-            _ if self.is_recorded => return None,
+            _ if self.is_recorded && !self.is_lost => return None,
+            final_stage if self.is_recorded => final_stage,
             // The answer says whether the move has a record already.
             TrialStage::Unread => TrialStage::Trial,
             TrialStage::Completing => TrialStage::Done,
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -10,10 +10,12 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderMap, Response, StatusCode, request, response};
+use tokio::sync::watch;
 
 use crate::decision::direct::{PromptShape, RefusalCause, StatedLoad, TrialStage, UpstreamNotice};
 use crate::ids::{
-    ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreRevision, UpstreamId, VersionId,
+    ConfigurationVersion, Incarnation, NodeId, ServiceId, StoreEra, StoreRevision, UpstreamId,
+    VersionId,
 };
 use crate::routing::{ViewBatch, ViewPart};
 
@@ -38,6 +40,10 @@
     /// full.
     #[display("the history since the last known revision is gone")]
     HistoryLost,
+    /// The store was restored from an older copy since the given revision, so the part must be read
+    /// in full.
+    #[display("the store was restored from an older copy")]
+    Restored,
     /// The request failed, or its answer was lost.
     #[display("{cause}")]
     Unavailable {
@@ -77,12 +83,20 @@
 pub struct StoredMove {
     /// Target and stage; `None` without a record, and if it cannot be read.
     pub state: Option<(VersionId, TrialStage)>,
-    /// Revision at which it was written; 0 without a record.
+    /// Revision at which it was written; without a record, version 0 of the store's era.
     pub revision: StoreRevision,
 }
 
 /// Store of the configuration, the upstreams, the members and the records of version moves.
 pub trait FleetSource: Send + Sync + 'static {
+    /// Returns a channel with the newest era that the store has stated; 0 before it has stated one.
+    fn eras(&self) -> watch::Receiver<StoreEra>;
+
+    /// Returns the newest era that the store has stated; 0 before it has stated one.
+    fn era(&self) -> StoreEra {
+        *self.eras().borrow()
+    }
+
     /// Reads a part in full.
     fn read(&self, part: ViewPart) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
@@ -94,11 +108,11 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
-    /// Writes this router's entry with the current time.
+    /// Writes this router's entry with the current time; returns the era in which it was written.
     fn renew_member(
         &self,
         member: &MemberEntry,
-    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+    ) -> impl Future<Output = Result<StoreEra, SourceError>> + Send;
 
     /// Removes a router's entry.
     fn remove_member(&self, node: &NodeId) -> impl Future<Output = Result<(), SourceError>> + Send;
@@ -113,7 +127,8 @@
     ) -> impl Future<Output = Result<StoredMove, SourceError>> + Send;
 
     /// Writes the record of a version move unless it was changed after `revision`, or its order is
-    /// no longer in force; returns whether it was written.
+    /// no longer in force; returns whether it was written. It fails when the order was read in
+    /// another era than the record.
     fn record_move(
         &self,
         record: &MoveRecord,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -15,6 +15,7 @@
 use super::events::{ControlEvent, ControlOutbox, OutgoingReport};
 use super::follow::CheckSignals;
 use super::observe::GatewayMetrics;
+use super::restore_log::RestoreLog;
 use super::settings::GatewaySettings;
 use super::view_log::{ChangeContext, ViewOrigin, log_change};
 use super::work_log::WorkLog;
@@ -22,7 +23,7 @@
     CallDecision, CallOutcome, DirectDispatcher, HandoffOffer, PeerReport, ReceivedLoad,
     TrialStage, ViewFreshness,
 };
-use crate::ids::{CallId, GrantId, Incarnation, NodeId, StoreRevision};
+use crate::ids::{CallId, GrantId, Incarnation, NodeId, StoreEra, StoreRevision};
 use crate::routing::{FleetView, MoveOrder, RouteTable, ViewChange, ViewPart};
 use crate::supervisor::{ControlInbox, StopSignal};
 
@@ -101,6 +102,12 @@
     }
 }
 
+/// What the view knows of the store's eras.
+struct KnownEra {
+    era: StoreEra,
+    restored_at: Option<Instant>,
+}
+
 struct ControlState {
     context: ControlContext,
     view: FleetView,
@@ -111,6 +118,7 @@
     sequence: u64,
     last_report: Option<Instant>,
     work_log: WorkLog,
+    restore_log: Option<RestoreLog>,
     behind_since: Option<Instant>,
     leaving: bool,
     spare_rate: f64,
@@ -135,6 +143,7 @@
             sequence: 0,
             last_report: None,
             work_log: WorkLog::default(),
+            restore_log: None,
             behind_since: None,
             leaving: false,
             spare_rate: 0.0,
@@ -180,8 +189,15 @@
             ControlEvent::View { batch, origin, confirmed_at } => {
                 let (part, revision) = (batch.part, batch.revision);
                 let context = self.change_context(origin, part, now);
-                let changes = self.view.apply(batch);
+                let (known, rows) = (self.known_era(), batch.changes.len());
+                let changes = self.view.apply(batch, now);
+                self.record_era(known, now);
                 self.apply_changes(changes, context, now);
+                if origin == ViewOrigin::Read
+                    && let Some(restore) = &mut self.restore_log
+                {
+                    restore.record_read(part, rows);
+                }
                 self.confirm(part, revision, confirmed_at);
             }
             ControlEvent::Unchanged { part, revision, confirmed_at } => {
@@ -190,7 +206,9 @@
             ControlEvent::SourceRecovered => self.dispatcher.record_store_recovery(now),
             ControlEvent::Import(snapshot) => {
                 let context = self.change_context(ViewOrigin::Peer, ViewPart::Operators, now);
-                let changes = self.view.import(snapshot);
+                let known = self.known_era();
+                let changes = self.view.import(snapshot, now);
+                self.record_era(known, now);
                 self.apply_changes(changes, context, now);
             }
             ControlEvent::Export(reply) => {
@@ -198,9 +216,17 @@
                 let _ = reply.send(self.view.export());
             }
             ControlEvent::Report(report) => self.dispatcher.record_report(*report, now),
+            ControlEvent::MemberRewritten => {
+                if let Some(restore) = &mut self.restore_log {
+                    restore.record_member();
+                }
+            }
             ControlEvent::Members(members) => self.update_members(members),
             ControlEvent::MoveRecorded(record) => {
                 let MoveRecord { service, order, stage, .. } = record;
+                if let Some(restore) = &mut self.restore_log {
+                    restore.record_move(&service, stage);
+                }
                 let step = self.dispatcher.apply_move_record(&service, order, stage, now);
                 step.iter().for_each(log_stage);
             }
@@ -221,6 +247,39 @@
         }
     }
 
+    fn known_era(&self) -> KnownEra {
+        KnownEra { era: self.view.era(), restored_at: self.view.restore_began_at() }
+    }
+
+    /// Records whether something of a new era was taken over, and whether the store was restored.
+    fn record_era(&mut self, previous: KnownEra, now: Instant) {
+        let known = self.known_era();
+        self.context.metrics.store_era.set(i64::try_from(known.era).unwrap_or(i64::MAX));
+        if known.restored_at == previous.restored_at {
+            return;
+        }
+        let restore = RestoreLog::new(previous.era, known.era, now);
+        if let Some(unfinished) = self.restore_log.replace(restore) {
+            unfinished.log(self.view.restore_counts());
+        }
+        self.context.metrics.store_restores.inc();
+        self.dispatcher.record_store_restore(now);
+    }
+
+    /// Ends the use of what was kept at a restore of the store, and logs the restore once its rows
+    /// were read.
+    fn finish_restore(&mut self, now: Instant) {
+        if self.view.restore_began_at().is_none() {
+            return;
+        }
+        if let Some(restore) = self.restore_log.take_if(|restore| restore.is_over(now)) {
+            restore.log(self.view.restore_counts());
+        }
+        let context = self.change_context(ViewOrigin::Restore, ViewPart::Upstreams, now);
+        let changes = self.view.remove_expired(now);
+        self.apply_changes(changes, context, now);
+    }
+
     fn change_context(&self, origin: ViewOrigin, part: ViewPart, now: Instant) -> ChangeContext {
         ChangeContext {
             origin,
@@ -264,6 +323,7 @@
     fn tick(&mut self) {
         let now = Instant::now();
         self.dispatcher.remove_expired(now);
+        self.finish_restore(now);
         for verdict in self.dispatcher.refresh_from_peers(now) {
             log_verdict(verdict);
         }
@@ -304,7 +364,10 @@
             return;
         }
         self.behind_since = Some(now);
-        log::info!(peer = &**peer, operators, upstreams; "fetching a newer view from a peer");
+        log::info!(
+            peer = &**peer, operators:% = operators, upstreams:% = upstreams;
+            "fetching a newer view from a peer"
+        );
         if self.context.outbox.fetches.try_send(address).is_err() {
             log::debug!("a view is being fetched already");
         }
--- a/src/gateway/decision_log.rs
+++ b/src/gateway/decision_log.rs
@@ -12,7 +12,7 @@
     let StageChange::Entered(stage) = step.change else { return };
     let order = &step.order;
     log::info!(
-        service = &*order.service, target = &*order.target, order = order.revision,
+        service = &*order.service, target = &*order.target, order:% = order.revision,
         stage:% = stage, recorded = step.is_recorded, routers = step.routers,
         answers:% = step.evidence.total, recent_answers = step.evidence.recent.answers,
         recent_failures = step.evidence.recent.failures,
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -93,6 +93,8 @@
     Export(oneshot::Sender<ViewSnapshot>),
     /// Report of another router.
     Report(Box<PeerReport>),
+    /// This router's entry was written again after a restore of the store.
+    MemberRewritten,
     /// Routers' entries in the store.
     Members(Vec<MemberEntry>),
     /// Record of a version move in the store.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -91,6 +91,7 @@
                 );
                 revision = None;
             }
+            Err(SourceError::Restored) => revision = None,
             Err(SourceError::Unavailable { cause }) => {
                 if pause_unless_stopped(health.record_failure(&cause), &stop).await {
                     return Ok(());
@@ -119,6 +120,10 @@
     };
     let feed = source.follow(part, revision, FEED_WAIT);
     tokio::pin!(feed);
+    // Another request may learn of a restore first.
+    let mut eras = source.eras();
+    let restored = async { eras.wait_for(|era| *era > revision.era).await.is_ok() };
+    tokio::pin!(restored);
     loop {
         tokio::select! {
             fed = &mut feed => {
@@ -127,6 +132,7 @@
                     batch, origin: ViewOrigin::Feed, confirmed_at
                 });
             }
+            true = &mut restored => return Err(SourceError::Restored),
             checked = check(context, part, revision) => {
                 let answer = checked?;
                 if !answer.batch.changes.is_empty() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod pool;
 mod processor_time;
 mod relay;
+mod restore_log;
 mod settings;
 mod tracked_body;
 mod view_log;
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -77,7 +77,7 @@
     if written {
         log::info!(
             service = &*record.service, target = &*record.target, stage:% = record.stage,
-            order = record.order, replaced = stored.revision; "version move recorded"
+            order:% = record.order, replaced:% = stored.revision; "version move recorded"
         );
         context.send_event(ControlEvent::MoveRecorded(record.clone()));
     }
@@ -85,8 +85,11 @@
 }
 
 /// Returns the stored stage if it belongs to the order of `record`: one that was written before
-/// the order belongs to an earlier order.
+/// the order belongs to an earlier order. Revisions of different eras tell nothing about that.
 fn stage_of(record: &MoveRecord, stored: &StoredMove) -> Option<TrialStage> {
     let (target, stage) = stored.state.as_ref()?;
-    (*target == record.target && stored.revision > record.order).then_some(*stage)
+    let is_same_order = *target == record.target
+        && stored.revision.era == record.order.era
+        && stored.revision > record.order;
+    is_same_order.then_some(*stage)
 }
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -77,6 +77,10 @@
     pub left_out: Gauge,
     /// Statements of upstreams about themselves that changed what this router sends, by kind.
     pub notices: Family<NoticeLabels, Counter>,
+    /// Newest era of the store of which something is known.
+    pub store_era: Gauge,
+    /// Restores of the store from an older copy.
+    pub store_restores: Counter,
     /// Version of the configuration in force.
     pub configuration: Gauge,
     /// Time since a part of the view was last known to be current, in seconds; -1 before the
@@ -108,6 +112,8 @@
             refused_parts: Gauge::default(),
             left_out: Gauge::default(),
             notices: Family::default(),
+            store_era: Gauge::default(),
+            store_restores: Counter::default(),
             configuration: Gauge::default(),
             view_age: Family::default(),
             reports_dropped: Counter::default(),
@@ -171,6 +177,16 @@
             "Statements of upstreams about themselves, by kind",
             self.notices.clone(),
         );
+        registry.register(
+            "store_era",
+            "Newest era of the store of which something is known",
+            self.store_era.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Restores of the store from an older copy",
+            self.store_restores.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force",
--- a/src/gateway/view_log.rs
+++ b/src/gateway/view_log.rs
@@ -20,6 +20,9 @@
     /// The view of another router was fetched.
     #[display("peer")]
     Peer,
+    /// The time is over for which it was kept after a restore of the store.
+    #[display("restore")]
+    Restore,
 }
 
 /// Where changes come from, and what the router knew before.
@@ -48,34 +51,34 @@
     match change {
         ViewChange::Configuration(configuration) => log::info!(
             version = configuration.version, previous = context.previous.unwrap_or_default(),
-            revision = operators, routes = configuration.routes.len(),
+            revision:% = operators, routes = configuration.routes.len(),
             teams = configuration.teams.len(), source:% = source,
             unconfirmed_ms = context.unconfirmed_ms(); "configuration in force"
         ),
         ViewChange::TakenOut(data_centre) => log::info!(
-            data_centre = &**data_centre, revision = operators, source:% = source,
+            data_centre = &**data_centre, revision:% = operators, source:% = source,
             unconfirmed_ms = context.unconfirmed_ms(); "data centre taken out"
         ),
         ViewChange::TakenBack(data_centre) => log::info!(
-            data_centre = &**data_centre, revision = operators, source:% = source;
+            data_centre = &**data_centre, revision:% = operators, source:% = source;
             "data centre taken back"
         ),
         ViewChange::MoveOrdered(order) => log::info!(
             service = &*order.service, target = &*order.target,
-            duration:? = order.duration, revision = operators, source:% = source;
+            duration:? = order.duration, revision:% = operators, source:% = source;
             "version move ordered"
         ),
         ViewChange::MoveEnded(service) => log::info!(
-            service = &**service, revision = operators, source:% = source;
+            service = &**service, revision:% = operators, source:% = source;
             "version move order removed"
         ),
         ViewChange::Upstream(id, entry) => log::info!(
             upstream = &**id, service = &*entry.service, address:% = entry.address,
-            leaving = entry.leaving, cold_left:? = entry.cold_left, revision = upstreams,
+            leaving = entry.leaving, cold_left:? = entry.cold_left, revision:% = upstreams,
             source:% = source, unconfirmed_ms = context.unconfirmed_ms(); "upstream changed"
         ),
         ViewChange::UpstreamGone(id) => log::info!(
-            upstream = &**id, revision = upstreams, source:% = source,
+            upstream = &**id, revision:% = upstreams, source:% = source,
             unconfirmed_ms = context.unconfirmed_ms(); "upstream entry gone"
         ),
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,7 +1,10 @@
-//! Type aliases for identifiers and version numbers.
+//! Identifiers and version numbers, most of them type aliases.
 
 use std::sync::Arc;
 
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
 /// Identifies a team. Chosen by operators.
 pub type TeamId = Arc<str>;
 
@@ -70,5 +73,64 @@
 /// Identifies calls with the same path, caller and body.
 pub type CallFingerprint = u64;
 
-/// Position in the store's history of changes. Increases with each transaction.
-pub type StoreRevision = u64;
+/// Counts the restores of the store from an older copy; 0 for a store that states no era.
+pub type StoreEra = u64;
+
+/// Number of a transaction of the store. Increases with each one; a restore goes back, and numbers
+/// are given out again.
+pub type RowVersion = u64;
+
+/// Position in the store's history of changes. A later era comes after all versions of an earlier
+/// one.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+)]
+#[serde(from = "RevisionFormat", into = "RevisionFormat")]
+#[display("{era}.{version}")]
+pub struct StoreRevision {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Number of the transaction within the era.
+    pub version: RowVersion,
+}
+
+impl StoreRevision {
+    /// Creates the revision of a transaction in an era.
+    pub const fn new(era: StoreEra, version: RowVersion) -> Self {
+        Self { era, version }
+    }
+}
+
+/// Serialized form of a revision. Routers of earlier releases know only the version.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum RevisionFormat {
+    Version(RowVersion),
+    WithEra(StoreEra, RowVersion),
+}
+
+impl From<RevisionFormat> for StoreRevision {
+    fn from(format: RevisionFormat) -> Self {
+        match format {
+            RevisionFormat::Version(version) => Self { era: 0, version },
+            RevisionFormat::WithEra(era, version) => Self { era, version },
+        }
+    }
+}
+
+impl From<StoreRevision> for RevisionFormat {
+    fn from(StoreRevision { era, version }: StoreRevision) -> Self {
+        if era == 0 { Self::Version(version) } else { Self::WithEra(era, version) }
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod bounds;
 mod entry;
+mod restore;
 mod table;
 mod view;
 
@@ -14,5 +15,6 @@
     CallKind, CallerLimits, MoveOrder, RouteConfiguration, RouteEntry, RouteTarget, ServiceEntry,
     TeamEntry, UpstreamEntry,
 };
+pub use restore::{ORDER_HOLD, RestoreCounts};
 pub use table::{RouteMatch, RouteTable, TeamKey, select_target};
 pub use view::{FleetView, ViewBatch, ViewChange, ViewPart, ViewSnapshot};
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -1,15 +1,18 @@
 //! The state that operators and upstreams publish, as known to one router.
 //!
 //! Each part carries the revision up to which it is known. Nothing older is ever applied, whether
-//! it comes from the store or from another router.
+//! it comes from the store or from another router. When the store was restored from an older copy,
+//! each part is read whole, and what the copy lacks is kept for a while (see `restore`).
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::entry::{MoveOrder, RouteConfiguration, UpstreamEntry};
-use crate::ids::{DataCentreId, ServiceId, StoreRevision, UpstreamId};
+use super::restore::{RestoreCounts, RestoreState};
+use crate::ids::{DataCentreId, RowVersion, ServiceId, StoreEra, StoreRevision, UpstreamId};
 
 /// Part of the state that is followed on its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
@@ -58,6 +61,8 @@
     pub complete: bool,
     /// The changes.
     pub changes: Vec<ViewChange>,
+    /// Versions of the rows of upstreams, if the changes are the rows of a whole part.
+    pub row_versions: IndexMap<UpstreamId, RowVersion>,
 }
 
 /// Serialized form of a view, exchanged between routers.
@@ -87,6 +92,7 @@
     taken_out: IndexSet<DataCentreId>,
     moves: IndexMap<ServiceId, MoveOrder>,
     entries: IndexMap<UpstreamId, UpstreamEntry>,
+    restore: RestoreState,
 }
 
 impl FleetView {
@@ -102,11 +108,28 @@
     /// operators' part while no configuration is known, as the source's may be invalid.
     pub fn usable_revision(&self, part: ViewPart) -> StoreRevision {
         match part {
-            ViewPart::Operators if self.configuration.is_none() => 0,
+            ViewPart::Operators if self.configuration.is_none() => StoreRevision::default(),
             part => self.revision(part),
         }
     }
 
+    /// Returns the newest era of which something is known.
+    pub fn era(&self) -> StoreEra {
+        self.operators.era.max(self.upstreams.era)
+    }
+
+    /// Returns the number of things that were kept or not taken over at the last restore of the
+    /// store.
+    pub fn restore_counts(&self) -> RestoreCounts {
+        self.restore.counts()
+    }
+
+    /// Returns when the view first took over something of the newest era; `None` if the store was not
+    /// restored since the start.
+    pub fn restore_began_at(&self) -> Option<Instant> {
+        self.restore.began_at()
+    }
+
     /// Returns the configuration in force.
     pub fn configuration(&self) -> Option<&Arc<RouteConfiguration>> {
         self.configuration.as_ref()
@@ -128,28 +151,40 @@
     }
 
     /// Applies a batch unless it is older than the known revision; returns the changes that had an
-    /// effect.
-    pub fn apply(&mut self, batch: ViewBatch) -> Vec<ViewChange> {
+    /// effect. The first batch of a new era must be complete.
+    pub fn apply(&mut self, batch: ViewBatch, now: Instant) -> Vec<ViewChange> {
         let current = self.revision(batch.part);
-        if batch.revision < current || (batch.revision == current && !batch.complete) {
+        let continues = batch.revision > current && batch.revision.era == current.era;
+        if batch.revision < current || !(batch.complete || continues) {
             return Vec::new();
         }
-        match batch.part {
-            ViewPart::Operators => self.operators = batch.revision,
-            ViewPart::Upstreams => self.upstreams = batch.revision,
+        self.enter_revision(batch.part, batch.revision, now);
+        let changes =
+            if batch.complete { self.reconcile(batch, now) } else { self.release(batch.changes) };
+        changes.into_iter().filter(|change| self.apply_change(change)).collect()
+    }
+
+    /// Ends the use of what was kept at a restore of the store, once its time is over; returns the
+    /// changes.
+    pub fn remove_expired(&mut self, now: Instant) -> Vec<ViewChange> {
+        let upstreams = self.restore.take_expired_upstreams(now);
+        for id in &upstreams {
+            self.entries.shift_remove(id);
         }
-        let removals =
-            if batch.complete { self.removals(batch.part, &batch.changes) } else { Vec::new() };
-        removals
-            .into_iter()
-            .chain(batch.changes)
-            .filter(|change| self.apply_change(change))
-            .collect()
+        let data_centres = self.restore.take_expired_data_centres(now);
+        let moves = self.restore.take_expired_moves(now);
+        let orders = data_centres.into_iter().map(ViewChange::TakenBack).chain(
+            moves.into_iter().map(|(service, stored)| {
+                stored.map_or(ViewChange::MoveEnded(service), ViewChange::MoveOrdered)
+            }),
+        );
+        let orders: Vec<ViewChange> = orders.filter(|change| self.apply_change(change)).collect();
+        upstreams.into_iter().map(ViewChange::UpstreamGone).chain(orders).collect()
     }
 
     /// Applies the parts of another router's view that are newer, and its configuration if none is
     /// known here; returns the changes that had an effect.
-    pub fn import(&mut self, snapshot: ViewSnapshot) -> Vec<ViewChange> {
+    pub fn import(&mut self, snapshot: ViewSnapshot, now: Instant) -> Vec<ViewChange> {
         let mut applied = Vec::new();
         if self.configuration.is_none()
             && let Some(configuration) = &snapshot.configuration
@@ -170,13 +205,16 @@
         ];
         for (part, revision, changes) in parts {
             if revision > self.revision(part) {
-                applied.extend(self.apply(ViewBatch { part, revision, complete: true, changes }));
+                let row_versions = IndexMap::new();
+                let batch = ViewBatch { part, revision, complete: true, changes, row_versions };
+                applied.extend(self.apply(batch, now));
             }
         }
         applied
     }
 
-    /// Copies the view, for another router.
+    /// Copies the view, for another router. Upstreams that are used without a row are left out, as
+    /// the other router keeps them by itself.
     pub fn export(&self) -> ViewSnapshot {
         ViewSnapshot {
             operators: self.operators,
@@ -187,11 +225,101 @@
             entries: self
                 .entries
                 .iter()
+                .filter(|(id, _)| !self.restore.holds_upstream(id))
                 .map(|(id, entry)| (Arc::clone(id), entry.clone()))
                 .collect(),
         }
     }
 
+    fn enter_revision(&mut self, part: ViewPart, revision: StoreRevision, now: Instant) {
+        let current = self.revision(part);
+        let is_restored = current != StoreRevision::default() && revision.era > current.era;
+        let is_first = revision.era > self.era();
+        match part {
+            ViewPart::Operators => {
+                if is_restored {
+                    self.restore.begin_operators(current, is_first, now);
+                }
+                self.operators = revision;
+            }
+            ViewPart::Upstreams => {
+                if is_restored {
+                    self.restore.begin_upstreams(current, is_first, now);
+                }
+                self.upstreams = revision;
+            }
+        }
+    }
+
+    /// Returns changes that were made after the last known revision. What they concern is neither
+    /// kept nor distrusted any longer.
+    fn release(&mut self, changes: Vec<ViewChange>) -> Vec<ViewChange> {
+        for change in &changes {
+            match change {
+                ViewChange::Configuration(_) => {}
+                ViewChange::TakenOut(id) | ViewChange::TakenBack(id) => {
+                    self.restore.release_data_centre(id);
+                }
+                ViewChange::MoveOrdered(order) => self.restore.release_move(&order.service),
+                ViewChange::MoveEnded(service) => self.restore.release_move(service),
+                ViewChange::Upstream(id, _) | ViewChange::UpstreamGone(id) => {
+                    self.restore.release_upstream(id);
+                }
+            }
+        }
+        changes
+    }
+
+    /// Returns the changes that lead to the content of a complete batch, without those that a
+    /// restore of the store explains.
+    fn reconcile(&mut self, batch: ViewBatch, now: Instant) -> Vec<ViewChange> {
+        let removals = self.removals(batch.part, &batch.changes);
+        let mut changes: Vec<ViewChange> =
+            removals.into_iter().filter(|removal| !self.holds(removal, now)).collect();
+        for change in batch.changes {
+            let is_outdated = match &change {
+                ViewChange::Upstream(id, entry) => {
+                    batch.row_versions.get(id).is_some_and(|version| {
+                        let known = self.entries.get(id);
+                        let era = batch.revision.era;
+                        self.restore.check_stale(id, entry, known, *version, era)
+                    })
+                }
+                ViewChange::MoveOrdered(order) => self
+                    .moves
+                    .get(&order.service)
+                    .is_some_and(|known| self.restore.hold_replaced_move(order, known, now)),
+                ViewChange::TakenOut(id) => {
+                    self.restore.release_data_centre(id);
+                    false
+                }
+                _ => false,
+            };
+            if !is_outdated {
+                changes.push(change);
+            } else if let ViewChange::Upstream(id, _) = &change
+                && let Some(known) = self.entries.get(id)
+                && !known.leaving
+                && !self.restore.hold_upstream(id, known, now)
+            {
+                changes.push(ViewChange::UpstreamGone(Arc::clone(id)));
+            }
+        }
+        changes
+    }
+
+    /// Returns whether what a complete batch lacks is kept.
+    fn holds(&mut self, removal: &ViewChange, now: Instant) -> bool {
+        match removal {
+            ViewChange::UpstreamGone(id) => {
+                self.entries.get(id).is_some_and(|known| self.restore.hold_upstream(id, known, now))
+            }
+            ViewChange::TakenBack(id) => self.restore.hold_data_centre(id, now),
+            ViewChange::MoveEnded(service) => self.restore.hold_move(service, now),
+            _ => false,
+        }
+    }
+
     /// Returns the changes that remove what a complete batch does not contain.
     fn removals(&self, part: ViewPart, changes: &[ViewChange]) -> Vec<ViewChange> {
         let is_missing = |matches: &dyn Fn(&ViewChange) -> bool| !changes.iter().any(matches);
@@ -250,10 +378,19 @@
             }
             ViewChange::MoveEnded(service) => self.moves.shift_remove(service).is_some(),
             ViewChange::Upstream(id, entry) => {
+                if entry.leaving {
+                    self.restore.record_withdrawal(id, entry.started, self.upstreams);
+                } else {
+                    self.restore.record_ready(id);
+                }
                 let previous = self.entries.insert(Arc::clone(id), entry.clone());
                 previous.as_ref() != Some(entry)
             }
-            ViewChange::UpstreamGone(id) => self.entries.shift_remove(id).is_some(),
+            ViewChange::UpstreamGone(id) => {
+                let Some(entry) = self.entries.shift_remove(id) else { return false };
+                self.restore.record_withdrawal(id, entry.started, self.upstreams);
+                true
+            }
         }
     }
 }
--- a/tests/testsuite/direct_dispatch.rs
+++ b/tests/testsuite/direct_dispatch.rs
@@ -7,7 +7,7 @@
     BudgetCharge, CallDecision, CallGrant, CallOutcome, DirectDispatcher, PeerLoad, PeerReport,
     PendingCall, PromptPart, PromptShape, RefusalCause,
 };
-use godwitcrank::ids::{CallId, DataCentreId, PromptPartId, RegionId, UpstreamId};
+use godwitcrank::ids::{CallId, DataCentreId, PromptPartId, RegionId, StoreRevision, UpstreamId};
 use godwitcrank::routing::{RouteConfiguration, ServiceEntry, UpstreamEntry, ViewChange};
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -119,7 +119,8 @@
 
 fn report(sequence: u64, loads: Vec<(UpstreamId, PeerLoad)>) -> PeerReport {
     let report = PeerReport::new("router-2".into(), ([127, 0, 0, 1], 7400).into(), 1, sequence);
-    PeerReport { operators: 1, upstreams: 1, loads, ..report }
+    let revision = StoreRevision::new(0, 1);
+    PeerReport { operators: revision, upstreams: revision, loads, ..report }
 }
 
 /// Guards against calls with a shared prompt part being spread over engines, each of which has to
--- a/tests/testsuite/direct_rules.rs
+++ b/tests/testsuite/direct_rules.rs
@@ -9,7 +9,7 @@
     PromptShape, RetryBudget, SlidingCounter, StageChange, TeamDemand, TeamUsage, TrialCount,
     TrialStage, VersionAnswers, VersionTrial,
 };
-use godwitcrank::ids::NodeId;
+use godwitcrank::ids::{NodeId, StoreRevision};
 use godwitcrank::routing::MoveOrder;
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -17,9 +17,14 @@
 
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// Returns the revision of a version in a store that states no era.
+fn version(version: u64) -> StoreRevision {
+    StoreRevision::new(0, version)
+}
+
 fn report(node: &str, incarnation: u64) -> PeerReport {
     let report = PeerReport::new(node.into(), ([127, 0, 0, 1], 7400).into(), incarnation, 1);
-    PeerReport { operators: 4, upstreams: 9, ..report }
+    PeerReport { operators: version(4), upstreams: version(9), ..report }
 }
 
 fn unrefused(usages: &[f64]) -> Vec<TeamDemand> {
@@ -31,7 +36,7 @@
         service: "model".into(),
         target: "v2".into(),
         duration: Duration::from_secs(20),
-        revision: 7,
+        revision: version(7),
     };
     let mut trial = VersionTrial::new(order, now);
     trial.apply_recorded(TrialStage::Trial);
@@ -188,9 +193,9 @@
     let now = Instant::now();
     let mut peers = PeerTable::default();
     peers.record(report("router-2", 1), now);
-    expect_that!(peers.find_ahead(4, 9, now), none());
-    expect_that!(peers.find_ahead(4, 8, now), some(anything()));
-    expect_that!(peers.find_ahead(3, 9, now), some(anything()));
+    expect_that!(peers.find_ahead(version(4), version(9), now), none());
+    expect_that!(peers.find_ahead(version(4), version(8), now), some(anything()));
+    expect_that!(peers.find_ahead(version(3), version(9), now), some(anything()));
 }
 
 /// Guards against more than a small share of calls to a target that has not been evaluated.
@@ -373,7 +378,7 @@
     let mut trial = trial(now);
     let own = trial.report(0, now);
     expect_that!(trial.matches(&own), eq(true));
-    expect_that!(trial.matches(&TrialCount { order: 6, ..own.clone() }), eq(false));
+    expect_that!(trial.matches(&TrialCount { order: version(6), ..own.clone() }), eq(false));
     expect_that!(trial.matches(&TrialCount { target: "v1".into(), ..own }), eq(false));
 }
 
--- a/tests/testsuite/handoff.rs
+++ b/tests/testsuite/handoff.rs
@@ -6,6 +6,7 @@
 use godwitcrank::decision::direct::{
     HandoffOffer, HandoffTargets, OverloadControl, PeerReport, PeerTable,
 };
+use godwitcrank::ids::StoreRevision;
 use googletest::prelude::*;
 
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -77,11 +78,15 @@
     let mut peers = PeerTable::default();
     for (node, operators) in [("behind", 4), ("level", 5), ("ahead", 6)] {
         let mut report = PeerReport::new(node.into(), address(9), 1, 1);
-        report.operators = operators;
+        report.operators = StoreRevision::new(0, operators);
         report.offer = Some(offer(operators as u16, "caerdydd", 100.0));
         peers.record(report, now);
     }
-    let addresses: Vec<_> = peers.offers(5, now).into_iter().map(|offer| offer.address).collect();
+    let addresses: Vec<_> = peers
+        .offers(StoreRevision::new(0, 5), now)
+        .into_iter()
+        .map(|offer| offer.address)
+        .collect();
     expect_that!(addresses, unordered_elements_are![eq(&address(5)), eq(&address(6))]);
 }
 
@@ -102,7 +107,11 @@
             peers.record(report, start + interval * number);
         }
         let now = start + interval * (REPORTS - 1) + Duration::from_millis(silence);
-        expect_that!(!peers.offers(0, now).is_empty(), eq(is_usable), "{interval:?} {silence} ms");
+        expect_that!(
+            !peers.offers(StoreRevision::default(), now).is_empty(),
+            eq(is_usable),
+            "{interval:?} {silence} ms"
+        );
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod shutdown;
 mod stated_load;
+mod store_restore;
 mod stream_pace;
 mod support;
 mod team_work;
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -1,14 +1,16 @@
 //! Route lookup, team keys and the view of the fleet.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use godwitcrank::ids::StoreRevision;
 use godwitcrank::lifecycle::call::UnsentCall;
 use godwitcrank::routing::{
     CallKind, CallerLimits, FleetView, RouteConfiguration, RouteEntry, RouteMatch, RouteTable,
     RouteTarget, TeamEntry, UpstreamEntry, ViewBatch, ViewChange, ViewPart, select_target,
 };
 use googletest::prelude::*;
+use indexmap::IndexMap;
 
 fn route(name: &str, prefix: &str, kind: CallKind) -> RouteEntry {
     RouteEntry {
@@ -73,7 +75,8 @@
 }
 
 fn batch(part: ViewPart, revision: u64, complete: bool, changes: Vec<ViewChange>) -> ViewBatch {
-    ViewBatch { part, revision, complete, changes }
+    let revision = StoreRevision::new(0, revision);
+    ViewBatch { part, revision, complete, changes, row_versions: IndexMap::new() }
 }
 
 /// Guards against a shorter prefix being preferred to a longer one that matches too.
@@ -169,22 +172,24 @@
 /// Guards against an older configuration that arrives late replacing a newer one.
 #[gtest]
 fn apply_older_configuration_never_reverts() {
+    let now = Instant::now();
     let mut view = FleetView::default();
     let newer = ViewChange::Configuration(Arc::new(configuration(9)));
-    view.apply(batch(ViewPart::Operators, 20, true, vec![newer]));
+    view.apply(batch(ViewPart::Operators, 20, true, vec![newer]), now);
     let older = ViewChange::Configuration(Arc::new(configuration(8)));
-    view.apply(batch(ViewPart::Operators, 19, true, vec![older.clone()]));
-    view.apply(batch(ViewPart::Operators, 21, false, vec![older]));
+    view.apply(batch(ViewPart::Operators, 19, true, vec![older.clone()]), now);
+    view.apply(batch(ViewPart::Operators, 21, false, vec![older]), now);
     assert_that!(view.configuration().map(|configuration| configuration.version), some(eq(9)));
 }
 
 /// Guards against keeping upstreams that a complete list no longer contains.
 #[gtest]
 fn apply_complete_list_removes_missing() {
+    let now = Instant::now();
     let mut view = FleetView::default();
     let entry = |id: &str| ViewChange::Upstream(id.into(), upstream(false));
-    view.apply(batch(ViewPart::Upstreams, 5, true, vec![entry("a"), entry("b")]));
-    let changes = view.apply(batch(ViewPart::Upstreams, 6, true, vec![entry("b")]));
+    view.apply(batch(ViewPart::Upstreams, 5, true, vec![entry("a"), entry("b")]), now);
+    let changes = view.apply(batch(ViewPart::Upstreams, 6, true, vec![entry("b")]), now);
     expect_that!(changes, elements_are![eq(&ViewChange::UpstreamGone("a".into()))]);
     expect_that!(view.entries().len(), eq(1));
 }
@@ -193,32 +198,37 @@
 /// were missed.
 #[gtest]
 fn apply_complete_list_takes_data_centre_back() {
+    let now = Instant::now();
     let mut view = FleetView::default();
     let out = ViewChange::TakenOut("caerdydd".into());
-    view.apply(batch(ViewPart::Operators, 5, false, vec![out]));
+    view.apply(batch(ViewPart::Operators, 5, false, vec![out]), now);
     expect_that!(view.taken_out().len(), eq(1));
-    let changes = view.apply(batch(ViewPart::Operators, 9, true, Vec::new()));
+    let changes = view.apply(batch(ViewPart::Operators, 9, true, Vec::new()), now);
     expect_that!(changes, elements_are![eq(&ViewChange::TakenBack("caerdydd".into()))]);
 }
 
 /// Guards against a peer's older view replacing what a router read itself.
 #[gtest]
 fn import_only_newer_parts() {
+    let now = Instant::now();
     let mut informed = FleetView::default();
     let entry = |leaving| ViewChange::Upstream("a".into(), upstream(leaving));
-    informed.apply(batch(
-        ViewPart::Operators,
-        30,
-        true,
-        vec![ViewChange::Configuration(Arc::new(configuration(3)))],
-    ));
-    informed.apply(batch(ViewPart::Upstreams, 4, true, vec![entry(false)]));
+    informed.apply(
+        batch(
+            ViewPart::Operators,
+            30,
+            true,
+            vec![ViewChange::Configuration(Arc::new(configuration(3)))],
+        ),
+        now,
+    );
+    informed.apply(batch(ViewPart::Upstreams, 4, true, vec![entry(false)]), now);
     let mut view = FleetView::default();
-    view.apply(batch(ViewPart::Upstreams, 7, true, vec![entry(true)]));
-    view.import(informed.export());
+    view.apply(batch(ViewPart::Upstreams, 7, true, vec![entry(true)]), now);
+    view.import(informed.export(), now);
     expect_that!(view.configuration().map(|configuration| configuration.version), some(eq(3)));
     expect_that!(view.entries()["a"].leaving, eq(true));
-    expect_that!(view.revision(ViewPart::Upstreams), eq(7));
+    expect_that!(view.revision(ViewPart::Upstreams), eq(StoreRevision::new(0, 7)));
 }
 
 /// Guards against refusing a call as not run after an upstream may have run it, and against a
--- a/tests/testsuite/version_load.rs
+++ b/tests/testsuite/version_load.rs
@@ -7,7 +7,7 @@
 use godwitcrank::decision::direct::{
     CallDecision, CallGrant, CallOutcome, DirectDispatcher, PeerReport, PendingCall, TrialStage,
 };
-use godwitcrank::ids::{CallId, GrantId, UpstreamId};
+use godwitcrank::ids::{CallId, GrantId, StoreRevision, UpstreamId};
 use godwitcrank::routing::{MoveOrder, UpstreamEntry, ViewChange};
 use googletest::prelude::*;
 use indexmap::IndexMap;
@@ -156,7 +156,7 @@
                 service: "model".into(),
                 target: "v2".into(),
                 duration: plan.duration,
-                revision: 5,
+                revision: StoreRevision::new(0, 5),
             };
             dispatcher.set_members(u32::try_from(plan.routers).expect("it is small"));
             dispatcher.apply(&ViewChange::MoveOrdered(order), start);
@@ -215,7 +215,12 @@
                     self.running.iter().filter(|call| call.upstream.contains("v1")).count();
             }
             let stage = self.result.recorded.map_or(wanted, |(stage, _)| stage);
-            self.routers[router].apply_move_record(&"model".into(), 5, stage, now);
+            self.routers[router].apply_move_record(
+                &"model".into(),
+                StoreRevision::new(0, 5),
+                stage,
+                now,
+            );
         }
     }
 
@@ -399,7 +404,7 @@
         let now = Instant::now();
         let mut fleet = SimulatedFleet::new(MovePlan { routers: 1, ..TWO_ROUTERS }, now);
         let router = &mut fleet.routers[0];
-        router.apply_move_record(&"model".into(), 5, stage, now);
+        router.apply_move_record(&"model".into(), StoreRevision::new(0, 5), stage, now);
         let known: Vec<UpstreamId> = router.upstreams().keys().cloned().collect();
         for id in known {
             router.apply(&ViewChange::UpstreamGone(id), now);
--- a/tests/testsuite/view_freshness.rs
+++ b/tests/testsuite/view_freshness.rs
@@ -15,7 +15,7 @@
 /// Reports of other routers arrive this long after they were sent, and once a tick.
 const REPORT_DELAY: Duration = Duration::from_millis(10);
 
-const REVISION: StoreRevision = 7;
+const REVISION: StoreRevision = StoreRevision::new(0, 7);
 
 fn node(index: usize) -> NodeId {
     format!("router-{index:03}").into()
@@ -111,6 +111,8 @@
     peers.record(report(1, 1, TICK), now);
     let part = ViewPart::Operators;
     expect_that!(peers.confirmed_at(part, REVISION, now), some(eq(now - TICK)));
-    expect_that!(peers.confirmed_at(part, REVISION + 1, now), none());
+    for other in [StoreRevision::new(0, 8), StoreRevision::new(1, 7)] {
+        expect_that!(peers.confirmed_at(part, other, now), none());
+    }
     expect_that!(peers.confirmed_at(ViewPart::Upstreams, REVISION, now), none());
 }
