Pass the versions of upstreams' rows on in views between routers

A router that was behind took a peer's view of a new era as it was. A peer that has started after the restore knows only the copy, and its view would have brought back an upstream that had announced its shutdown.

The view keeps the version of each upstream's row and passes it on, so that rows of a peer's view are distrusted by the same rule as own reads.

--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -61,7 +61,7 @@
     pub complete: bool,
     /// The changes.
     pub changes: Vec<ViewChange>,
-    /// Versions of the rows of upstreams, if the changes are the rows of a whole part.
+    /// Versions of the rows of upstreams, as far as they are known.
     pub row_versions: IndexMap<UpstreamId, RowVersion>,
 }
 
@@ -81,6 +81,9 @@
     pub moves: Vec<MoveOrder>,
     /// Upstreams.
     pub entries: Vec<(UpstreamId, UpstreamEntry)>,
+    /// Versions of the rows of upstreams, as far as they are known.
+    #[serde(default)]
+    pub row_versions: Vec<(UpstreamId, RowVersion)>,
 }
 
 /// Configuration, orders and upstreams as known to one router.
@@ -92,6 +95,7 @@
     taken_out: IndexSet<DataCentreId>,
     moves: IndexMap<ServiceId, MoveOrder>,
     entries: IndexMap<UpstreamId, UpstreamEntry>,
+    row_versions: IndexMap<UpstreamId, RowVersion>,
     restore: RestoreState,
 }
 
@@ -159,8 +163,13 @@
             return Vec::new();
         }
         self.enter_revision(batch.part, batch.revision, now);
-        let changes =
-            if batch.complete { self.reconcile(batch, now) } else { self.release(batch.changes) };
+        let changes = if batch.complete {
+            self.reconcile(&batch, now)
+        } else {
+            self.release(&batch.changes);
+            batch.changes
+        };
+        self.record_versions(&changes, &batch.row_versions);
         changes.into_iter().filter(|change| self.apply_change(change)).collect()
     }
 
@@ -170,6 +179,7 @@
         let upstreams = self.restore.take_expired_upstreams(now);
         for id in &upstreams {
             self.entries.shift_remove(id);
+            self.row_versions.shift_remove(id);
         }
         let data_centres = self.restore.take_expired_data_centres(now);
         let moves = self.restore.take_expired_moves(now);
@@ -205,7 +215,7 @@
         ];
         for (part, revision, changes) in parts {
             if revision > self.revision(part) {
-                let row_versions = IndexMap::new();
+                let row_versions = snapshot.row_versions.iter().cloned().collect();
                 let batch = ViewBatch { part, revision, complete: true, changes, row_versions };
                 applied.extend(self.apply(batch, now));
             }
@@ -228,6 +238,11 @@
                 .filter(|(id, _)| !self.restore.holds_upstream(id))
                 .map(|(id, entry)| (Arc::clone(id), entry.clone()))
                 .collect(),
+            row_versions: self
+                .row_versions
+                .iter()
+                .map(|(id, version)| (Arc::clone(id), *version))
+                .collect(),
         }
     }
 
@@ -251,10 +266,25 @@
         }
     }
 
-    /// Returns changes that were made after the last known revision. What they concern is neither
+    /// Records the versions of the rows of changes that are about to be applied.
+    fn record_versions(
+        &mut self,
+        changes: &[ViewChange],
+        versions: &IndexMap<UpstreamId, RowVersion>,
+    ) {
+        for change in changes {
+            if let ViewChange::Upstream(id, _) = change
+                && let Some(version) = versions.get(id)
+            {
+                self.row_versions.insert(Arc::clone(id), *version);
+            }
+        }
+    }
+
+    /// Records changes that were made after the last known revision. What they concern is neither
     /// kept nor distrusted any longer.
-    fn release(&mut self, changes: Vec<ViewChange>) -> Vec<ViewChange> {
-        for change in &changes {
+    fn release(&mut self, changes: &[ViewChange]) {
+        for change in changes {
             match change {
                 ViewChange::Configuration(_) => {}
                 ViewChange::TakenOut(id) | ViewChange::TakenBack(id) => {
@@ -267,17 +297,16 @@
                 }
             }
         }
-        changes
     }
 
     /// Returns the changes that lead to the content of a complete batch, without those that a
     /// restore of the store explains.
-    fn reconcile(&mut self, batch: ViewBatch, now: Instant) -> Vec<ViewChange> {
+    fn reconcile(&mut self, batch: &ViewBatch, now: Instant) -> Vec<ViewChange> {
         let removals = self.removals(batch.part, &batch.changes);
         let mut changes: Vec<ViewChange> =
             removals.into_iter().filter(|removal| !self.holds(removal, now)).collect();
-        for change in batch.changes {
-            let is_outdated = match &change {
+        for change in &batch.changes {
+            let is_outdated = match change {
                 ViewChange::Upstream(id, entry) => {
                     batch.row_versions.get(id).is_some_and(|version| {
                         let known = self.entries.get(id);
@@ -296,8 +325,8 @@
                 _ => false,
             };
             if !is_outdated {
-                changes.push(change);
-            } else if let ViewChange::Upstream(id, _) = &change
+                changes.push(change.clone());
+            } else if let ViewChange::Upstream(id, _) = change
                 && let Some(known) = self.entries.get(id)
                 && !known.leaving
                 && !self.restore.hold_upstream(id, known, now)
@@ -388,6 +417,7 @@
             }
             ViewChange::UpstreamGone(id) => {
                 let Some(entry) = self.entries.shift_remove(id) else { return false };
+                self.row_versions.shift_remove(id);
                 self.restore.record_withdrawal(id, entry.started, self.upstreams);
                 true
             }
--- a/tests/testsuite/store_restore.rs
+++ b/tests/testsuite/store_restore.rs
@@ -285,6 +285,27 @@
     expect_that!(is_ready(&view), eq(false));
 }
 
+/// Guards against a peer that started after the restore, and knows only the copy, bringing back an
+/// upstream that was about to stop; and against one that is ready again staying unused.
+#[gtest]
+fn import_withdrawn_upstream_needs_later_row() {
+    let now = Instant::now();
+    let part = ViewPart::Upstreams;
+    let ready = || vec![upstream(false, started(5))];
+    let mut view = known_view(part, vec![upstream(true, started(5))], now);
+    let mut peer = FleetView::default();
+    peer.apply(whole(part, RESTORED, ready(), 10), now);
+    view.import(peer.export(), now);
+    expect_that!(view.revision(part), eq(RESTORED));
+    expect_that!(is_ready(&view), eq(false));
+    let later = StoreRevision::new(2, 31);
+    let row_versions = IndexMap::from_iter([("a".into(), later.version)]);
+    let complete = false;
+    peer.apply(ViewBatch { part, revision: later, complete, changes: ready(), row_versions }, now);
+    view.import(peer.export(), now);
+    expect_that!(is_ready(&view), eq(true));
+}
+
 fn recorded_trial(stage: TrialStage, now: Instant) -> VersionTrial {
     let mut trial = VersionTrial::new(order("v2", KNOWN), now);
     trial.apply_recorded(TrialStage::Trial);
