--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -58,6 +58,13 @@
     pub(super) is_unread: bool,
 }
 
+/// A version move with a final record.
+#[derive(Debug)]
+pub(super) struct EndedMove {
+    pub(super) order: MoveOrder,
+    pub(super) stage: TrialStage,
+}
+
 /// Dispatcher of one router.
 #[derive(Debug)]
 pub struct DirectDispatcher {
@@ -70,7 +77,7 @@
     pub(super) taken_out: IndexSet<DataCentreId>,
     pub(super) trials: IndexMap<ServiceId, VersionTrial>,
     /// Last recorded end of a move of each service whose order is no longer in force.
-    pub(super) ended_moves: IndexMap<ServiceId, (MoveOrder, TrialStage)>,
+    pub(super) ended_moves: IndexMap<ServiceId, EndedMove>,
     waiting: Vec<WaitingCall>,
     pub(super) changed: ChangedUpstreams,
     pub(super) grants: IndexMap<GrantId, GrantedCall>,
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use super::dispatcher::{DirectDispatcher, ServiceState};
+use super::dispatcher::{DirectDispatcher, EndedMove, ServiceState};
 use super::load::UpstreamLoad;
 use super::stream_pace::StreamPace;
 use super::version_trial::VersionTrial;
@@ -69,11 +69,13 @@
                 return;
             }
         }
-        let ended = self.ended_moves.get(&order.service).filter(|(ended, _)| {
-            ended.target == order.target && ended.revision.era < order.revision.era && is_restored
+        let ended = self.ended_moves.get(&order.service).filter(|ended| {
+            ended.order.target == order.target
+                && ended.order.revision.era < order.revision.era
+                && is_restored
         });
         let trial = match ended {
-            Some((_, stage)) => VersionTrial::recorded(order.clone(), *stage, now),
+            Some(ended) => VersionTrial::recorded(order.clone(), ended.stage, now),
             None => VersionTrial::new(order.clone(), now),
         };
         if let Some(replaced) = self.trials.insert(Arc::clone(&order.service), trial) {
@@ -85,8 +87,8 @@
     /// and not the record.
     fn keep_ended_move(&mut self, trial: VersionTrial) {
         if trial.is_recorded() {
-            let order = trial.order();
-            self.ended_moves.insert(Arc::clone(&order.service), (order.clone(), trial.stage()));
+            let ended = EndedMove { order: trial.order().clone(), stage: trial.stage() };
+            self.ended_moves.insert(Arc::clone(&ended.order.service), ended);
         }
     }
 
--- a/src/routing/bounds.rs
+++ b/src/routing/bounds.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::entry::{RouteConfiguration, UpstreamEntry};
-use super::view::ViewSnapshot;
+use super::snapshot::ViewSnapshot;
 
 /// Most calls that one upstream may state to run at the same time.
 pub const MAX_SLOTS: u32 = 4096;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod entry;
 mod restore;
+mod snapshot;
 mod table;
 mod view;
 
@@ -16,5 +17,6 @@
     TeamEntry, UpstreamEntry,
 };
 pub use restore::{ORDER_HOLD, RestoreCounts};
+pub use snapshot::ViewSnapshot;
 pub use table::{RouteMatch, RouteTable, TeamKey, select_target};
-pub use view::{FleetView, ViewBatch, ViewChange, ViewPart, ViewSnapshot};
+pub use view::{FleetView, ViewBatch, ViewChange, ViewPart};
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -65,38 +65,17 @@
     pub row_versions: IndexMap<UpstreamId, RowVersion>,
 }
 
-/// Serialized form of a view, exchanged between routers.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ViewSnapshot {
-    /// Revision of the operators' part.
-    pub operators: StoreRevision,
-    /// Revision of the upstreams' part.
-    pub upstreams: StoreRevision,
-    /// The configuration.
-    #[serde(rename = "sheet")]
-    pub configuration: Option<Arc<RouteConfiguration>>,
-    /// Data centres that are taken out of service.
-    pub taken_out: Vec<DataCentreId>,
-    /// Orders of version moves.
-    pub moves: Vec<MoveOrder>,
-    /// Upstreams.
-    pub entries: Vec<(UpstreamId, UpstreamEntry)>,
-    /// Versions of the rows of upstreams, as far as they are known.
-    #[serde(default)]
-    pub row_versions: Vec<(UpstreamId, RowVersion)>,
-}
-
 /// Configuration, orders and upstreams as known to one router.
 #[derive(Debug, Default)]
 pub struct FleetView {
-    operators: StoreRevision,
-    upstreams: StoreRevision,
-    configuration: Option<Arc<RouteConfiguration>>,
-    taken_out: IndexSet<DataCentreId>,
-    moves: IndexMap<ServiceId, MoveOrder>,
-    entries: IndexMap<UpstreamId, UpstreamEntry>,
-    row_versions: IndexMap<UpstreamId, RowVersion>,
-    restore: RestoreState,
+    pub(super) operators: StoreRevision,
+    pub(super) upstreams: StoreRevision,
+    pub(super) configuration: Option<Arc<RouteConfiguration>>,
+    pub(super) taken_out: IndexSet<DataCentreId>,
+    pub(super) moves: IndexMap<ServiceId, MoveOrder>,
+    pub(super) entries: IndexMap<UpstreamId, UpstreamEntry>,
+    pub(super) row_versions: IndexMap<UpstreamId, RowVersion>,
+    pub(super) restore: RestoreState,
 }
 
 impl FleetView {
@@ -192,60 +171,6 @@
         upstreams.into_iter().map(ViewChange::UpstreamGone).chain(orders).collect()
     }
 
-    /// Applies the parts of another router's view that are newer, and its configuration if none is
-    /// known here; returns the changes that had an effect.
-    pub fn import(&mut self, snapshot: ViewSnapshot, now: Instant) -> Vec<ViewChange> {
-        let mut applied = Vec::new();
-        if self.configuration.is_none()
-            && let Some(configuration) = &snapshot.configuration
-        {
-            let change = ViewChange::Configuration(Arc::clone(configuration));
-            self.apply_change(&change);
-            applied.push(change);
-        }
-        let mut operators: Vec<ViewChange> =
-            snapshot.configuration.into_iter().map(ViewChange::Configuration).collect();
-        operators.extend(snapshot.taken_out.into_iter().map(ViewChange::TakenOut));
-        operators.extend(snapshot.moves.into_iter().map(ViewChange::MoveOrdered));
-        let upstreams =
-            snapshot.entries.into_iter().map(|(id, entry)| ViewChange::Upstream(id, entry));
-        let parts = [
-            (ViewPart::Operators, snapshot.operators, operators),
-            (ViewPart::Upstreams, snapshot.upstreams, upstreams.collect()),
-        ];
-        for (part, revision, changes) in parts {
-            if revision > self.revision(part) {
-                let row_versions = snapshot.row_versions.iter().cloned().collect();
-                let batch = ViewBatch { part, revision, complete: true, changes, row_versions };
-                applied.extend(self.apply(batch, now));
-            }
-        }
-        applied
-    }
-
-    /// Copies the view, for another router. Upstreams that are used without a row are left out, as
-    /// the other router keeps them by itself.
-    pub fn export(&self) -> ViewSnapshot {
-        ViewSnapshot {
-            operators: self.operators,
-            upstreams: self.upstreams,
-            configuration: self.configuration.clone(),
-            taken_out: self.taken_out.iter().cloned().collect(),
-            moves: self.moves.values().cloned().collect(),
-            entries: self
-                .entries
-                .iter()
-                .filter(|(id, _)| !self.restore.holds_upstream(id))
-                .map(|(id, entry)| (Arc::clone(id), entry.clone()))
-                .collect(),
-            row_versions: self
-                .row_versions
-                .iter()
-                .map(|(id, version)| (Arc::clone(id), *version))
-                .collect(),
-        }
-    }
-
     fn enter_revision(&mut self, part: ViewPart, revision: StoreRevision, now: Instant) {
         let current = self.revision(part);
         let is_restored = current != StoreRevision::default() && revision.era > current.era;
@@ -387,7 +312,7 @@
     }
 
     /// Applies one change; returns whether it had an effect.
-    fn apply_change(&mut self, change: &ViewChange) -> bool {
+    pub(super) fn apply_change(&mut self, change: &ViewChange) -> bool {
         match change {
             ViewChange::Configuration(configuration) => {
                 let newer = self
