Write the record of a move under way again after a restore

A restored store may lose the record that a move is running; it was written again only at the end of the move, so that operators saw no move meanwhile. It is now written again once the order is known in the new era.

Before: restore_move_under_way_goes_on found no record within 10 s, and renew_order_requests_running_record_again no request.

--- a/src/decision/direct/version_trial.rs
+++ b/src/decision/direct/version_trial.rs
@@ -125,11 +125,11 @@
     }
 
     /// Takes over another revision of the same order, which was written again after the store was
-    /// restored. A final record has to be written again, too: it may be lost, and one with a lower
+    /// restored. The record has to be written again, too: it may be lost, and one with a lower
     /// revision would be taken for that of an earlier order.
     pub fn renew_order(&mut self, order: MoveOrder) {
         self.order = order;
-        self.is_lost = self.is_recorded;
+        self.is_lost = true;
         self.requested = None;
     }
 
@@ -155,6 +155,7 @@
             self.is_lost &= !stage.is_final();
             return StageChange::Unchanged;
         }
+        self.is_lost = false;
         self.is_recorded = stage.is_final();
         if self.is_recorded || self.stage == TrialStage::Unread {
             return self.enter(stage);
@@ -290,6 +291,7 @@
             TrialStage::Unread => TrialStage::Trial,
             TrialStage::Completing => TrialStage::Done,
             TrialStage::TakenBack => TrialStage::TakenBack,
+            TrialStage::Trial | TrialStage::Moved if self.is_lost => TrialStage::Trial,
             TrialStage::Trial | TrialStage::Moved | TrialStage::Done => return None,
         };
         let is_pending = self.requested.is_some_and(|(stage, at)| {
--- a/tests/testsuite/store_restore.rs
+++ b/tests/testsuite/store_restore.rs
@@ -330,6 +330,21 @@
     }
 }
 
+/// Guards against a move under way whose record stays lost, and against one that is written without
+/// end.
+#[gtest]
+fn renew_order_requests_running_record_again() {
+    let now = Instant::now();
+    let mut trial = VersionTrial::new(order("v2", KNOWN), now);
+    trial.apply_recorded(TrialStage::Trial);
+    expect_that!(trial.take_record_request(now), none());
+    trial.renew_order(order("v2", RESTORED));
+    expect_that!(trial.take_record_request(now), some(eq(TrialStage::Trial)));
+    trial.apply_recorded(TrialStage::Trial);
+    expect_that!(trial.take_record_request(now + Duration::from_secs(1)), none());
+    expect_that!(trial.stage(), eq(TrialStage::Trial));
+}
+
 fn dispatcher(now: Instant, first: MoveOrder) -> DirectDispatcher {
     let mut dispatcher =
         DirectDispatcher::new("r1".into(), "caerdydd".into(), IndexMap::new(), fleet_bounds());
