--- a/src/decision/lease.rs
+++ b/src/decision/lease.rs
@@ -7,10 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::ids::{FencingNumber, NodeId};
-
-/// Version of a row in the table service.
-pub type RowVersion = u64;
+use crate::ids::{FencingNumber, NodeId, RowVersion};
 
 /// Content and version of a lease row.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -10,15 +10,15 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{HeaderMap, Response, StatusCode, request, response};
+use tokio::sync::watch;
 
 use crate::decision::direct::{
     PromptShape, RefusalCause, ScalingOrder, StatedLoad, TrialStage, UpstreamNotice,
 };
 use crate::decision::duty::{ClosedWindow, UsageRecord};
-use crate::decision::lease::RowVersion;
 use crate::ids::{
-    ConfigurationVersion, FencingNumber, Incarnation, NodeId, ServiceId, StoreEra, StoreRevision,
-    UpstreamId, VersionId,
+    ConfigurationVersion, FencingNumber, Incarnation, NodeId, RowVersion, ServiceId, StoreEra,
+    StoreRevision, UpstreamId, VersionId,
 };
 use crate::routing::{ViewBatch, ViewPart};
 
@@ -43,6 +43,10 @@
     /// full.
     #[display("the history since the last known revision is gone")]
     HistoryLost,
+    /// The store was restored from an older copy since the given revision, so the part must be read
+    /// in full.
+    #[display("the store was restored from an older copy")]
+    Restored,
     /// The request failed, or its answer was lost.
     #[display("{cause}")]
     Unavailable {
@@ -82,7 +86,7 @@
 pub struct StoredMove {
     /// Target and stage; `None` without a record, and if it cannot be read.
     pub state: Option<(VersionId, TrialStage)>,
-    /// Revision at which it was written; 0 without a record.
+    /// Revision at which it was written; without a record, version 0 of the store's era.
     pub revision: StoreRevision,
 }
 
@@ -151,6 +155,14 @@
 /// Store of the configuration, the upstreams, the members, the records of version moves and the
 /// duties; receiver of the duties' calls.
 pub trait FleetSource: Send + Sync + 'static {
+    /// Returns a channel with the newest era that the store has stated; 0 before it has stated one.
+    fn eras(&self) -> watch::Receiver<StoreEra>;
+
+    /// Returns the newest era that the store has stated; 0 before it has stated one.
+    fn era(&self) -> StoreEra {
+        *self.eras().borrow()
+    }
+
     /// Reads a part in full.
     fn read(&self, part: ViewPart) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
@@ -162,11 +174,11 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ViewBatch, SourceError>> + Send;
 
-    /// Writes this router's entry with the current time.
+    /// Writes this router's entry with the current time; returns the era in which it was written.
     fn renew_member(
         &self,
         member: &MemberEntry,
-    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+    ) -> impl Future<Output = Result<StoreEra, SourceError>> + Send;
 
     /// Removes a router's entry.
     fn remove_member(&self, node: &NodeId) -> impl Future<Output = Result<(), SourceError>> + Send;
@@ -181,7 +193,8 @@
     ) -> impl Future<Output = Result<StoredMove, SourceError>> + Send;
 
     /// Writes the record of a version move unless it was changed after `revision`, or its order is
-    /// no longer in force; returns whether it was written.
+    /// no longer in force; returns whether it was written. It fails when the order was read in
+    /// another era than the record.
     fn record_move(
         &self,
         record: &MoveRecord,
@@ -191,9 +204,6 @@
     /// Returns the time of the store's monotonic clock; `None` before its first answer.
     fn store_time(&self) -> Option<Duration>;
 
-    /// Returns the newest era of the store that an answer has stated; 0 before.
-    fn era(&self) -> StoreEra;
-
     /// Reads the lease of the duties and the record of usage.
     fn read_duties(&self) -> impl Future<Output = Result<StoredDuties, SourceError>> + Send;
 
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -16,8 +16,8 @@
 use super::settings::DutySettings;
 use crate::decision::direct::{EngineScaler, ScalingOrder, ScalingSubject};
 use crate::decision::duty::{ClockContinuity, ClosedWindow, DutyStatus, UsageRecord};
-use crate::decision::lease::{LeaseClaim, LeaseRow, RowVersion};
-use crate::ids::{FencingNumber, NodeId, StoreEra, UsageWindow};
+use crate::decision::lease::{LeaseClaim, LeaseRow};
+use crate::ids::{FencingNumber, NodeId, RowVersion, StoreEra, UsageWindow};
 use crate::lease::{JobLease, LeaseTable, LeaseWrite};
 use crate::supervisor::StopSignal;
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -95,6 +95,8 @@
     Export(oneshot::Sender<ViewSnapshot>),
     /// Report of another router.
     Report(Box<PeerReport>),
+    /// This router's entry was written again after a restore of the store.
+    MemberRewritten,
     /// Routers' entries in the store.
     Members(Vec<MemberEntry>),
     /// Reading of the store's monotonic clock.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod pool;
 mod processor_time;
 mod relay;
+mod restore_log;
 mod settings;
 mod tracked_body;
 mod usage;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -79,6 +79,10 @@
     pub slowed: Gauge,
     /// Statements of upstreams about themselves that changed what this router sends, by kind.
     pub notices: Family<NoticeLabels, Counter>,
+    /// Newest era of the store of which something is known.
+    pub store_era: Gauge,
+    /// Restores of the store from an older copy.
+    pub store_restores: Counter,
     /// Version of the configuration in force.
     pub configuration: Gauge,
     /// Time since a part of the view was last known to be current, in seconds; -1 before the
@@ -117,6 +121,8 @@
             left_out: Gauge::default(),
             slowed: Gauge::default(),
             notices: Family::default(),
+            store_era: Gauge::default(),
+            store_restores: Counter::default(),
             configuration: Gauge::default(),
             view_age: Family::default(),
             reports_dropped: Counter::default(),
@@ -203,6 +209,16 @@
             "Statements of upstreams about themselves, by kind",
             self.notices.clone(),
         );
+        registry.register(
+            "store_era",
+            "Newest era of the store of which something is known",
+            self.store_era.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Restores of the store from an older copy",
+            self.store_restores.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force",
--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::decision::lease::{LeaseClaim, LeaseRow, RowVersion};
+use crate::decision::lease::{LeaseClaim, LeaseRow};
 use crate::fleet::FleetContext;
-use crate::ids::{FencingNumber, NodeId};
+use crate::ids::{FencingNumber, NodeId, RowVersion};
 use crate::lease::{LeaseTable, LeaseWrite};
 use crate::store::{HttpTable, RowCondition, RowWrite, TableRow, TableService, TransactionOutcome};
 
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -7,8 +7,8 @@
 use std::future::Future;
 use std::time::{Duration, Instant};
 
-use crate::decision::lease::{LeaseClaim, LeaseHolder, LeaseRow, LeaseWaiter, RowVersion};
-use crate::ids::{FencingNumber, NodeId};
+use crate::decision::lease::{LeaseClaim, LeaseHolder, LeaseRow, LeaseWaiter};
+use crate::ids::{FencingNumber, NodeId, RowVersion};
 
 /// Outcome of a conditional write of a lease row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,7 +6,9 @@
 
 mod bounds;
 mod entry;
+mod restore;
 mod scaling_limits;
+mod snapshot;
 mod table;
 mod view;
 
@@ -15,8 +17,10 @@
     CallKind, CallerLimits, MoveOrder, RouteConfiguration, RouteEntry, RouteTarget, ServiceEntry,
     TeamEntry, UpstreamEntry,
 };
+pub use restore::{ORDER_HOLD, RestoreCounts};
 pub use scaling_limits::{
     MAX_BOOT_TIME, MAX_ENGINES, RawScalingLimits, ScalingLimits, ScalingLimitsError,
 };
+pub use snapshot::ViewSnapshot;
 pub use table::{RouteMatch, RouteTable, TeamKey, select_target};
-pub use view::{FleetView, ViewBatch, ViewChange, ViewPart, ViewSnapshot};
+pub use view::{FleetView, ViewBatch, ViewChange, ViewPart};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod settings;
 mod shutdown;
 mod stated_load;
+mod store_restore;
 mod stream_pace;
 mod support;
 mod team_work;
