Weigh the slowdown that engines state, and learn slow engines sooner

Cause: an X-Engine-Load with four figures was ignored as a whole, so the load of engines that state their momentary speed was lost, and a slow spell was learned as a slow engine. Engines of one service differ in speed by up to 2.7 times, but each one started at 70 tokens per millisecond at each router and was learned at a weight of 0.08.

Change: the fourth figure is a checked slowdown of the stated load. It scales the expected wait and so admission and choice, its weight falls with age (to a third after 0.4 s, none after 1.5 s), and the measured read rate is normalised by it. An engine without measurements starts from the mean of its service if that is below 70; measurements that are slower than assumed weigh 1/3, 1/4 and so on at the start.

Tests: decoding::read_answer_load_with_slowdown failed before, as did slow_engine_gets_few_calls and the new tests of the slowdown. In decoding::read_answer_load "3,0,8,1" is readable now; five figures take its place.

--- a/src/decision/direct/call_progress.rs
+++ b/src/decision/direct/call_progress.rs
@@ -64,7 +64,7 @@
         self.changed.insert(&call.upstream);
         if let Some(load) = self.upstreams.get_mut(&call.upstream) {
             load.end_wait(call.uncached_tokens, std::mem::take(&mut call.is_unread));
-            load.record_first_event(call.queued_tokens, waited.saturating_sub(own_delay));
+            load.record_first_event(call.queued_tokens, waited.saturating_sub(own_delay), now);
         }
     }
 
--- a/src/decision/direct/capacity.rs
+++ b/src/decision/direct/capacity.rs
@@ -197,7 +197,7 @@
 ) -> bool {
     let spilled = needs.rank != Some(0) && misses_shared_parts(prompt, needs.uncached);
     let fraction = if spilled { needs.fractions.spill } else { needs.fractions.start };
-    let expected_wait = load.expected_wait(needs.uncached);
+    let expected_wait = load.expected_wait(needs.uncached, now);
     let wait = expected_wait + now.duration_since(call.arrived);
     let upstream_wait = expected_wait + now.duration_since(needs.queued_at);
     if upstream_wait <= call.objective.mul_f64(fraction)
@@ -227,8 +227,8 @@
     own_data_centre: &DataCentreId,
     now: Instant,
 ) -> f64 {
-    let cost = load.expected_wait(uncached).as_secs_f64()
-        + CACHE_MISS_WEIGHT * load.read_time(uncached).as_secs_f64()
+    let cost = load.expected_wait(uncached, now).as_secs_f64()
+        + CACHE_MISS_WEIGHT * load.read_time(uncached, now).as_secs_f64()
         + FAILURE_PENALTY.as_secs_f64() * load.failure_share()
         + LOAD_PENALTY.as_secs_f64() * f64::from(load.running(now))
             / f64::from(load.entry.slots.max(1));
--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -153,6 +153,11 @@
         self.notices.left_out_count(now)
     }
 
+    /// Returns the number of upstreams that state that work takes clearly longer than usual.
+    pub fn slowed(&self, now: Instant) -> usize {
+        self.upstreams.values().filter(|load| load.stated.is_slowed(now)).count()
+    }
+
     /// Returns the upstreams whose pauses have ended since the last call.
     pub fn take_resumed(&mut self) -> Vec<UpstreamId> {
         self.notices.take_resumed()
@@ -202,6 +207,7 @@
         for service in self.services.values_mut() {
             service.pace.adjust(now);
         }
+        self.assume_unmeasured_rates();
         self.demand.refresh(&self.peers, now);
         self.estimate_unread(now);
         self.changed = ChangedUpstreams::All;
@@ -410,7 +416,7 @@
             .and_then(|state| state.entry.memory_tokens)
             .unwrap_or_default();
         let load = &mut self.upstreams[upstream];
-        let expected_wait = load.expected_wait(uncached);
+        let expected_wait = load.expected_wait(uncached, now);
         let held_tokens = call
             .prompt
             .as_ref()
--- a/src/decision/direct/load.rs
+++ b/src/decision/direct/load.rs
@@ -8,19 +8,11 @@
 use super::cold_limiter::ColdLimiter;
 use super::peers::PeerLoad;
 use super::prefix_cache::PrefixCache;
+use super::read_rate::ReadRate;
 use super::stated_load::LastStatement;
 use crate::ids::{PromptPartId, UpstreamId};
 use crate::routing::UpstreamEntry;
 
-/// Prompt tokens that an engine reads per millisecond, before the rate is measured.
-const INITIAL_READ_RATE: f64 = 70.0;
-
-/// Range of the measured rate, in tokens per millisecond.
-const READ_RATE_RANGE: (f64, f64) = (12.0, 130.0);
-
-/// Weight of a new measurement in the moving average of the rate.
-const READ_RATE_WEIGHT: f64 = 0.08;
-
 /// Time from the arrival of a call at an idle engine to its first event, besides reading the
 /// prompt.
 const BASE_FIRST_EVENT_TIME: Duration = Duration::from_millis(40);
@@ -65,11 +57,12 @@
     pub cache: PrefixCache,
     /// Rate limiter while it is cold.
     pub cold: ColdLimiter,
+    /// Rate at which it usually reads prompts.
+    pub read_rate: ReadRate,
     /// When the entry disappeared, while the upstream is kept in case the entry only expired during
     /// an outage of the store.
     pub expired_at: Option<Instant>,
     id_hash: u64,
-    read_rate: f64,
     consecutive_failures: u32,
     failure_share: f64,
     backoff_until: Option<Instant>,
@@ -87,9 +80,9 @@
             stated: LastStatement::default(),
             cache: PrefixCache::default(),
             cold: ColdLimiter::default(),
+            read_rate: ReadRate::default(),
             expired_at: None,
             id_hash: xxh3_64(id.as_bytes()),
-            read_rate: INITIAL_READ_RATE,
             consecutive_failures: 0,
             failure_share: 0.0,
             backoff_until: None,
@@ -127,13 +120,15 @@
     }
 
     /// Returns the expected time to the first event of a call with `uncached` prompt tokens.
-    pub fn expected_wait(&self, uncached: u64) -> Duration {
-        BASE_FIRST_EVENT_TIME + self.read_time(self.waiting_tokens() + uncached)
+    pub fn expected_wait(&self, uncached: u64, now: Instant) -> Duration {
+        let base = BASE_FIRST_EVENT_TIME.mul_f64(self.stated.slowdown_factor(now));
+        base + self.read_time(self.waiting_tokens() + uncached, now)
     }
 
-    /// Returns the time that the upstream takes to read prompt tokens.
-    pub fn read_time(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.read_rate / 1000.0)
+    /// Returns the time that the upstream takes to read prompt tokens at its present speed.
+    pub fn read_time(&self, tokens: u64, now: Instant) -> Duration {
+        let usual = tokens as f64 / self.read_rate.tokens_per_ms() / 1000.0;
+        Duration::from_secs_f64(usual * self.stated.slowdown_factor(now))
     }
 
     /// Returns the tokens that all calls in progress hold in the upstream's memory.
@@ -147,20 +142,20 @@
     }
 
     /// Updates the read rate from a first event that came `waited` after the call was sent, with
-    /// `queued` prompt tokens to read before it.
-    pub fn record_first_event(&mut self, queued: u64, waited: Duration) {
+    /// `queued` prompt tokens to read before it. The time counts as it would have been at the usual
+    /// speed, so that a slow spell is not learned as a slow engine.
+    pub fn record_first_event(&mut self, queued: u64, waited: Duration, now: Instant) {
         if queued < MIN_MEASURED_TOKENS {
             return;
         }
-        let reading = waited.saturating_sub(BASE_FIRST_EVENT_TIME).max(Duration::from_millis(1));
-        let rate = queued as f64 / (reading.as_secs_f64() * 1000.0);
-        let rate = rate.clamp(READ_RATE_RANGE.0, READ_RATE_RANGE.1);
-        self.read_rate += READ_RATE_WEIGHT * (rate - self.read_rate);
+        let usual = waited.div_f64(self.stated.slowdown_factor(now));
+        let reading = usual.saturating_sub(BASE_FIRST_EVENT_TIME).max(Duration::from_millis(1));
+        self.read_rate.record(queued as f64 / (reading.as_secs_f64() * 1000.0));
     }
 
-    /// Returns the rate at which the upstream reads prompts, in tokens per millisecond.
+    /// Returns the rate at which the upstream usually reads prompts, in tokens per millisecond.
     pub fn read_rate(&self) -> f64 {
-        self.read_rate
+        self.read_rate.tokens_per_ms()
     }
 
     /// Returns the moving average of its failures, from 0 to 1.
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -21,6 +21,7 @@
 mod part_suspects;
 mod peers;
 mod prefix_cache;
+mod read_rate;
 mod selection;
 mod stated_load;
 mod stream_pace;
@@ -54,7 +55,10 @@
 pub use part_suspects::{BrokenCall, PartSuspects, PartVerdict};
 pub use peers::{LoadChange, PeerLoad, PeerReport, PeerTable, TrialCount};
 pub use prefix_cache::PrefixCache;
-pub use stated_load::{CallCounts, LastStatement, ReceivedLoad, StatedLoad, StatementError};
+pub use read_rate::ReadRate;
+pub use stated_load::{
+    CallCounts, LastStatement, ReceivedLoad, Slowdown, StatedLoad, StatementError,
+};
 pub use stream_pace::{EndedStream, StreamPace};
 pub use suspects::SuspectList;
 pub use team_usage::{FairLevel, TeamDemand, TeamUsage};
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -284,6 +284,8 @@
         }
         let left_out = self.dispatcher.left_out(now);
         metrics.left_out.set(i64::try_from(left_out).unwrap_or(i64::MAX));
+        let slowed = self.dispatcher.slowed(now);
+        metrics.slowed.set(i64::try_from(slowed).unwrap_or(i64::MAX));
         let refused_parts = self.dispatcher.refused_parts();
         metrics.refused_parts.set(i64::try_from(refused_parts).unwrap_or(i64::MAX));
         metrics.routers.set(i64::from(self.dispatcher.peers().router_count(now)));
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -75,6 +75,8 @@
     pub refused_parts: Gauge,
     /// Upstreams that leave or pause by their own statement.
     pub left_out: Gauge,
+    /// Upstreams that state that work takes clearly longer than usual.
+    pub slowed: Gauge,
     /// Statements of upstreams about themselves that changed what this router sends, by kind.
     pub notices: Family<NoticeLabels, Counter>,
     /// Version of the configuration in force.
@@ -107,6 +109,7 @@
             routers: Gauge::default(),
             refused_parts: Gauge::default(),
             left_out: Gauge::default(),
+            slowed: Gauge::default(),
             notices: Family::default(),
             configuration: Gauge::default(),
             view_age: Family::default(),
@@ -166,6 +169,11 @@
             "Upstreams that leave or pause by their own statement",
             self.left_out.clone(),
         );
+        registry.register(
+            "slowed_upstreams",
+            "Upstreams that state that work takes clearly longer than usual",
+            self.slowed.clone(),
+        );
         registry.register(
             "upstream_notices",
             "Statements of upstreams about themselves, by kind",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -43,6 +43,7 @@
 mod team_work;
 mod tls;
 mod trace;
+mod uneven_engines;
 mod upstream_notices;
 mod version_load;
 mod version_move;
--- a/tests/testsuite/stated_load.rs
+++ b/tests/testsuite/stated_load.rs
@@ -4,7 +4,7 @@
 
 use godwitcrank::decision::direct::{
     CallCounts, CallDecision, CallOutcome, DirectDispatcher, LastStatement, PeerLoad, PeerReport,
-    ReceivedLoad, StatedLoad, StatementError,
+    PendingCall, PromptPart, PromptShape, ReceivedLoad, Slowdown, StatedLoad, StatementError,
 };
 use godwitcrank::ids::{CallId, UpstreamId};
 use godwitcrank::routing::{UpstreamEntry, ViewChange};
@@ -12,7 +12,7 @@
 use indexmap::IndexMap;
 
 use super::support::direct_path::{
-    fleet_bounds, pending_call, plain_configuration, upstream_entry,
+    fleet_bounds, pending_call, plain_configuration, service_configuration, upstream_entry,
 };
 
 /// Slots of each upstream in these tests.
@@ -177,3 +177,157 @@
     let sent = send(&mut dispatcher, 3, later).map(|(upstream, _)| upstream);
     expect_that!(sent, eq(&Some(upstream)));
 }
+
+/// Slots of each engine in the tests of the slowdown.
+const ENGINE_SLOTS: u32 = 128;
+
+fn slowed(percent: u32, at: Instant) -> ReceivedLoad {
+    let counts = CallCounts { running: 1, waiting: 0, slots: ENGINE_SLOTS };
+    let load = StatedLoad::try_from(counts).expect("the counts are usable");
+    let slowdown = Slowdown::try_from(percent).expect("the slowdown is usable");
+    ReceivedLoad { load: load.with_slowdown(slowdown), at }
+}
+
+/// Creates the dispatcher of the only router with the given engines.
+fn engine_fleet(engines: &[&str], now: Instant) -> DirectDispatcher {
+    let mut dispatcher = DirectDispatcher::new(
+        "router-1".into(),
+        "caerdydd".into(),
+        IndexMap::new(),
+        fleet_bounds(),
+    );
+    dispatcher.apply(&service_configuration("model", Some(300_000), None), now);
+    for id in engines {
+        let entry = upstream_entry("model", ENGINE_SLOTS);
+        dispatcher.apply(&ViewChange::Upstream((*id).into(), entry), now);
+    }
+    dispatcher.set_members(1);
+    dispatcher
+}
+
+/// Returns a call whose prompt no other call shares.
+fn model_call(id: CallId, tokens: u32, now: Instant) -> PendingCall {
+    let parts = vec![PromptPart { id, tokens }];
+    let prompt = PromptShape { tokens_in: tokens, tokens_out: 50, parts };
+    pending_call(id, "model", Some(prompt), now)
+}
+
+/// Dispatches a model call; returns its upstream and grant.
+fn send_prompt(
+    dispatcher: &mut DirectDispatcher,
+    id: CallId,
+    tokens: u32,
+    now: Instant,
+) -> Option<(UpstreamId, u64)> {
+    dispatcher.enqueue(model_call(id, tokens, now), now);
+    let decision = dispatcher.dispatch(now).pop();
+    if decision.is_none() {
+        dispatcher.cancel(id, now);
+    }
+    match decision?.1 {
+        CallDecision::Send(grant) => Some((grant.upstream, grant.id)),
+        CallDecision::Refuse { .. } => None,
+    }
+}
+
+/// Sends prompts of 2,000 tokens until one has to wait; returns how many were sent.
+fn fill(dispatcher: &mut DirectDispatcher, now: Instant) -> usize {
+    (100..200).take_while(|id| send_prompt(dispatcher, *id, 2_000, now).is_some()).count()
+}
+
+/// Has each of two engines answer a call and state its load; returns the one that states `percent`.
+fn slow_down(dispatcher: &mut DirectDispatcher, percent: u32, now: Instant) -> UpstreamId {
+    let (slow, grant) = send_prompt(dispatcher, 1, 100, now).expect("an engine is free");
+    dispatcher.record_stated_load(grant, slowed(percent, now));
+    dispatcher.record_end(grant, CallOutcome::Completed, false, now);
+    slow
+}
+
+/// Guards against a slowdown that no machine can have.
+#[gtest]
+fn try_from_odd_slowdown() {
+    for percent in [0, 10_001, u32::MAX] {
+        expect_that!(Slowdown::try_from(percent), err(eq(StatementError::Slowdown(percent))));
+    }
+    for percent in [1, 100, 250, 10_000] {
+        expect_that!(Slowdown::try_from(percent), ok(anything()), "{percent}");
+    }
+}
+
+/// Guards against a spell that is taken to last for ever, and against statements without a
+/// slowdown that change the expected time of work.
+#[gtest]
+fn slowdown_factor_falls_with_age() {
+    let start = Instant::now();
+    let mut statement = LastStatement::default();
+    expect_that!(statement.slowdown_factor(start), eq(1.0));
+    statement.record(slowed(250, start), 0);
+    for (age, factor) in [(0, 2.5), (400, 1.552), (800, 1.203), (1_500, 1.0), (9_000, 1.0)] {
+        let at = start + Duration::from_millis(age);
+        expect_that!(statement.slowdown_factor(at), near(factor, 0.001), "{age} ms");
+    }
+    statement.record(stated(1, 0, start), 0);
+    expect_that!(statement.slowdown_factor(start), eq(1.0));
+}
+
+/// Guards against one statement that attracts the calls of all routers.
+#[gtest]
+fn slowdown_factor_of_fast_machine_is_bounded() {
+    let start = Instant::now();
+    let mut statement = LastStatement::default();
+    statement.record(slowed(1, start), 0);
+    expect_that!(statement.slowdown_factor(start), ge(0.2));
+}
+
+/// Guards against calls to an engine that is in a slow spell while another one is not.
+#[gtest]
+fn dispatch_stated_slow_prefers_other_engine() {
+    let start = Instant::now();
+    let mut dispatcher = engine_fleet(&["a", "b"], start);
+    let slow = slow_down(&mut dispatcher, 250, start);
+    for id in 10..20 {
+        let (engine, grant) =
+            send_prompt(&mut dispatcher, id, 2_000, start).expect("an engine is free");
+        expect_that!(engine, not(eq(&slow)));
+        dispatcher.record_end(grant, CallOutcome::Completed, false, start);
+    }
+}
+
+/// Guards against calls that a slow engine is sent although it cannot start them in time, and
+/// against a spell that has ended and still keeps calls away.
+#[gtest]
+fn dispatch_stated_slow_admits_fewer_calls() {
+    let start = Instant::now();
+    let admitted = |percent, age| {
+        let mut dispatcher = engine_fleet(&["a"], start);
+        slow_down(&mut dispatcher, percent, start);
+        fill(&mut dispatcher, start + Duration::from_millis(age))
+    };
+    let usual = admitted(100, 0);
+    expect_that!(admitted(250, 0), all!(ge(1), le(usual / 2)));
+    expect_that!(admitted(250, 400), all!(gt(admitted(250, 0)), lt(usual)));
+    expect_that!(admitted(250, 1_500), eq(usual));
+}
+
+/// Returns the read rate after a number of first events that came `waited` ms after calls of 4,000
+/// tokens at an engine that stated this slowdown.
+fn rate_after(count: u64, waited: u64, percent: u32) -> f64 {
+    let now = Instant::now();
+    let mut dispatcher = engine_fleet(&["a"], now);
+    for id in 1..=count {
+        let (_, grant) = send_prompt(&mut dispatcher, id, 4_000, now).expect("the engine is idle");
+        dispatcher.record_stated_load(grant, slowed(percent, now));
+        dispatcher.record_first_event(grant, Duration::from_millis(waited), Duration::ZERO, now);
+        dispatcher.record_end(grant, CallOutcome::Completed, false, now);
+    }
+    dispatcher.upstreams()["a"].read_rate()
+}
+
+/// Guards against a slow spell that is learned as a slow engine, which then gets fewer calls long
+/// after the spell.
+#[gtest]
+fn record_first_event_in_slow_spell_keeps_read_rate() {
+    let usual = rate_after(50, 90, 100);
+    expect_that!(rate_after(50, 225, 250), near(usual, 0.01));
+    expect_that!(rate_after(50, 225, 100), lt(0.5 * usual));
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -24,6 +24,7 @@
 
 pub mod crash_fleet;
 pub mod direct_path;
+pub mod engine_fleet;
 pub mod extra_upstream;
 pub mod fleet_plan;
 pub mod operator;
