Keep model calls in their data centre while it has room

Cause: a call went to the engines of any data centre at a fixed cost of 2 ms, so with three equal data centres about six of ten calls left theirs, at any load. Traffic between data centres is slower and costs money.

Change: where engines of a model service state a slowdown, a call stays while its best engine inside starts it within 0.45 of the objective. It leaves if an engine outside starts it sooner by more than 20 ms (link and bytes), if there is no room inside, if its prompt parts are cached outside and would take longer to read again, or if it is in the share that leaves, which moves in steps by the mean waits. Bounds of cold engines and taken-out data centres hold as before. Without stated slowdowns nothing changes.

Tests: zone_choice::* (wave, slow engine among fast ones, spells, cold return, many routers that see the same room). dispatch_full_inside_uses_ outside, wave_leaves_with_what_does_not_fit and others fail without the choice.

--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -20,18 +20,33 @@
 use super::version_trial::VersionTrial;
 use super::waiting::{ChangedUpstreams, WaitingCall, retry_after};
 use super::window::RetryBudget;
+use super::zone_choice::ZoneShare;
 use crate::ids::{
     CallFingerprint, CallId, DataCentreId, GrantId, NodeId, PromptPartId, RegionId, RouteId,
     ServiceId, TeamId, UpstreamId,
 };
 use crate::routing::ServiceEntry;
 
-/// A service, its retry budget, and the pace of its streams.
+/// A service, its retry budget, the pace of its streams, and the share of its calls that leave the
+/// data centre.
 #[derive(Debug)]
 pub(super) struct ServiceState {
     pub(super) entry: ServiceEntry,
     pub(super) retries: RetryBudget,
     pub(super) pace: StreamPace,
+    pub(super) zone: ZoneShare,
+}
+
+impl ServiceState {
+    /// Creates the state of a service without calls.
+    pub(super) fn new(entry: ServiceEntry, retry_window: Duration) -> Self {
+        Self {
+            entry,
+            retries: RetryBudget::new(retry_window),
+            pace: StreamPace::default(),
+            zone: ZoneShare::default(),
+        }
+    }
 }
 
 /// A call in progress at an upstream.
@@ -208,6 +223,7 @@
             service.pace.adjust(now);
         }
         self.assume_unmeasured_rates();
+        self.adjust_zone_shares(now);
         self.demand.refresh(&self.peers, now);
         self.estimate_unread(now);
         self.changed = ChangedUpstreams::All;
@@ -345,7 +361,8 @@
         if let Some(retry_after) = self.part_refusal(call, now) {
             return Some(CallDecision::Refuse { cause: RefusalCause::Suspect, retry_after });
         }
-        let candidates = waiting.candidates.unwrap_or_else(|| self.candidates(call, now));
+        let candidates =
+            waiting.candidates.unwrap_or_else(|| self.candidates(call, waiting.queued_at, now));
         let Some((upstream, uncached)) =
             self.select_upstream(call, &candidates, waiting.queued_at, now)
         else {
@@ -410,11 +427,11 @@
         uncached: u64,
         now: Instant,
     ) -> CallGrant {
-        let memory_tokens = self
-            .services
-            .get(&call.service)
-            .and_then(|state| state.entry.memory_tokens)
-            .unwrap_or_default();
+        let mut memory_tokens = None;
+        if let Some(state) = self.services.get_mut(&call.service) {
+            state.zone.record_call(uncached, call.objective);
+            memory_tokens = state.entry.memory_tokens;
+        }
         let load = &mut self.upstreams[upstream];
         let expected_wait = load.expected_wait(uncached, now);
         let held_tokens = call
@@ -427,7 +444,8 @@
         load.cold.record(now);
         let started = load.entry.started;
         if let Some(prompt) = &call.prompt {
-            load.cache.record(prompt, UpstreamLoad::cache_capacity(memory_tokens));
+            load.cache
+                .record(prompt, UpstreamLoad::cache_capacity(memory_tokens.unwrap_or_default()));
         }
         let id = self.next_grant;
         self.next_grant += 1;
--- a/src/decision/direct/fleet_changes.rs
+++ b/src/decision/direct/fleet_changes.rs
@@ -7,10 +7,8 @@
 
 use super::dispatcher::{DirectDispatcher, ServiceState};
 use super::load::UpstreamLoad;
-use super::stream_pace::StreamPace;
 use super::version_trial::VersionTrial;
 use super::waiting::ChangedUpstreams;
-use super::window::RetryBudget;
 use crate::ids::{DataCentreId, UpstreamId};
 use crate::routing::{MoveOrder, UpstreamEntry, ViewChange};
 
@@ -26,11 +24,10 @@
             ViewChange::Configuration(configuration) => {
                 let mut services = IndexMap::new();
                 for entry in &configuration.services {
-                    let (retries, pace) = self.services.swap_remove(&entry.name).map_or_else(
-                        || (RetryBudget::new(self.bounds.retry_window), StreamPace::default()),
-                        |state| (state.retries, state.pace),
-                    );
-                    let state = ServiceState { entry: entry.clone(), retries, pace };
+                    let state = match self.services.swap_remove(&entry.name) {
+                        Some(state) => ServiceState { entry: entry.clone(), ..state },
+                        None => ServiceState::new(entry.clone(), self.bounds.retry_window),
+                    };
                     services.insert(Arc::clone(&entry.name), state);
                 }
                 self.services = services;
--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -37,6 +37,8 @@
 mod view_freshness;
 mod waiting;
 mod window;
+mod zone_candidates;
+mod zone_choice;
 
 pub use call::{
     BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, PromptPart, PromptShape,
@@ -74,3 +76,4 @@
 pub use version_trial::{StageChange, TrialStage, VersionTrial};
 pub use view_freshness::ViewFreshness;
 pub use window::{RetryBudget, SlidingCounter};
+pub use zone_choice::{ZoneShare, ZoneWaits};
--- a/src/decision/direct/selection.rs
+++ b/src/decision/direct/selection.rs
@@ -17,7 +17,12 @@
 
 impl DirectDispatcher {
     /// Returns the upstreams that are considered for a call.
-    pub(super) fn candidates(&mut self, call: &PendingCall, now: Instant) -> CandidateSet {
+    pub(super) fn candidates(
+        &mut self,
+        call: &PendingCall,
+        queued_at: Instant,
+        now: Instant,
+    ) -> CandidateSet {
         let usable = self.usable_upstreams(call, now);
         let (of_target, others) = self.split_by_version(call, usable);
         if let Some(candidates) = self.trial_candidates(call, &of_target, now) {
@@ -25,7 +30,7 @@
         }
         let usable = self.choose_version(call, of_target, others);
         let usable = self.prefer_untried(call, usable, now);
-        CandidateSet::for_call(call, &self.upstreams, &usable)
+        self.zone_candidates(call, &usable, queued_at, now)
     }
 
     /// Returns the indices of the upstreams that may run the call, whatever their load.
--- a/src/decision/direct/stated_load.rs
+++ b/src/decision/direct/stated_load.rs
@@ -196,6 +196,11 @@
         self.slowdown_factor(now) >= CLEAR_SLOWDOWN_FACTOR
     }
 
+    /// Returns whether the upstream states its slowdown.
+    pub fn has_slowdown(&self, now: Instant) -> bool {
+        self.current(now).is_some_and(|(last, _)| last.slowdown.is_some())
+    }
+
     /// Returns the last statement and its age, unless it is too old to count.
     fn current(&self, now: Instant) -> Option<(KnownStatement, Duration)> {
         let last = self.last?;
--- a/src/gateway/work_log.rs
+++ b/src/gateway/work_log.rs
@@ -42,6 +42,7 @@
         }
         self.log_totals(dispatcher.work_mut().largest(), metrics, settings);
         log_paces(dispatcher);
+        log_zone_shares(dispatcher, now);
         counts.retain(|_, count| count.turned_away() > 0.0);
         counts.sort_by(|_, left, _, right| right.turned_away().total_cmp(&left.turned_away()));
         let level = dispatcher.fair_level();
@@ -85,3 +86,17 @@
         );
     }
 }
+
+/// Logs the share of each service's calls that leaves the data centre, and the expected waits that
+/// it follows from.
+fn log_zone_shares(dispatcher: &DirectDispatcher, now: Instant) {
+    let millis = |wait: Option<Duration>| wait.map_or(-1, |wait| wait.as_millis() as i64);
+    for (service, zone) in dispatcher.zone_shares(now) {
+        let waits = zone.waits();
+        log::info!(
+            service = &**service, share = (zone.share() * 100.0).round() / 100.0,
+            inside_ms = millis(waits.inside), outside_ms = millis(waits.outside);
+            "share of calls that leaves the data centre"
+        );
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,3 +48,4 @@
 mod version_load;
 mod version_move;
 mod view_freshness;
+mod zone_choice;
--- a/tests/testsuite/support/engine_fleet.rs
+++ b/tests/testsuite/support/engine_fleet.rs
@@ -116,6 +116,11 @@
     pub fn is_in_time(&self) -> bool {
         matches!(self.fate, CallFate::Answered(wait) if wait <= OBJECTIVE)
     }
+
+    /// Returns whether an engine of another data centre ran the call.
+    pub fn has_left(&self) -> bool {
+        self.ran_at.is_some_and(|data_centre| data_centre != self.home)
+    }
 }
 
 #[derive(Debug)]
