Compare fewer engines where a data centre has only a few

Cause: with fewer than six engines inside, two preferred and two drawn candidates are most of them, so three quarters of the routers with the same reports sent to the engine that looked idle in them.

Change: among fewer than six engines of one side one candidate is drawn besides the preferred ones, and none for calls without shared prompt parts. Only where calls prefer their data centre.

Test: zone_choice::dispatch_few_inside_spreads_over_engines (147 of 200 routers chose the idle engine before, the bound is 120).

--- a/src/decision/direct/candidates.rs
+++ b/src/decision/direct/candidates.rs
@@ -17,6 +17,9 @@
 /// Number of upstreams that are sampled for one call.
 const SAMPLED_UPSTREAMS: usize = 2;
 
+/// Number of upstreams below which a set that compared as many as usual would compare most of them.
+const FEW_UPSTREAMS: usize = 6;
+
 /// Indices of the upstreams that a call may be sent to; valid until the fleet changes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CandidateSet {
@@ -42,6 +45,25 @@
         }
     }
 
+    /// Selects like [`Self::for_call`], but samples fewer among a few upstreams, so that routers do
+    /// not compare most of them. Calls that share prompt parts still need one besides the preferred
+    /// ones, which may be full.
+    pub(super) fn for_call_among_few(
+        call: &PendingCall,
+        upstreams: &IndexMap<UpstreamId, UpstreamLoad>,
+        usable: &[usize],
+    ) -> Self {
+        let set = Self::for_call(call, upstreams, usable);
+        let Some(prompt) = call.prompt.as_ref().filter(|prompt| !prompt.parts.is_empty()) else {
+            return set;
+        };
+        if usable.len() >= FEW_UPSTREAMS {
+            return set;
+        }
+        let first = set.sampled[0].filter(|_| !prompt.shared_parts().is_empty());
+        Self { sampled: [first, None], ..set }
+    }
+
     /// Returns the index of each upstream once.
     pub(super) fn indices(&self) -> impl Iterator<Item = usize> {
         let sampled = self.sampled.iter().flatten().filter(|index| self.rank(**index).is_none());
--- a/src/decision/direct/zone_candidates.rs
+++ b/src/decision/direct/zone_candidates.rs
@@ -123,8 +123,8 @@
         if inside.is_empty() || outside.is_empty() {
             return CandidateSet::for_call(call, &self.upstreams, usable);
         }
-        let stays = CandidateSet::for_call(call, &self.upstreams, &inside);
-        let leaves = CandidateSet::for_call(call, &self.upstreams, &outside);
+        let stays = CandidateSet::for_call_among_few(call, &self.upstreams, &inside);
+        let leaves = CandidateSet::for_call_among_few(call, &self.upstreams, &outside);
         let is_leaving = zone.leaves(xxh3_64(&(call.fingerprint ^ call.id).to_le_bytes()));
         let (first, second) = if is_leaving { (leaves, stays) } else { (stays, leaves) };
         match self.selected_wait(call, &first, queued_at, now) {
--- a/tests/testsuite/zone_choice.rs
+++ b/tests/testsuite/zone_choice.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use godwitcrank::decision::direct::{
-    CallCounts, CallDecision, CallOutcome, DirectDispatcher, PendingCall, PromptPart, PromptShape,
-    ReceivedLoad, Slowdown, StatedLoad, ZoneShare, ZoneWaits,
+    CallCounts, CallDecision, CallOutcome, DirectDispatcher, PeerLoad, PeerReport, PendingCall,
+    PromptPart, PromptShape, ReceivedLoad, Slowdown, StatedLoad, ZoneShare, ZoneWaits,
 };
 use godwitcrank::ids::{CallId, PromptPartId, UpstreamId};
 use godwitcrank::routing::{UpstreamEntry, ViewChange};
@@ -244,6 +244,29 @@
     expect_that!(count_outside(&engines), ge(5));
 }
 
+/// Guards against many routers that compare most of the few engines inside, and so send to the one
+/// that looks idle in the same reports.
+#[gtest]
+fn dispatch_few_inside_spreads_over_engines() {
+    const INSIDE: [&str; 4] = ["in-1", "in-2", "in-3", "in-4"];
+    let now = Instant::now();
+    let busy = PeerLoad { running: 10, waiting_tokens: 5_000, held_tokens: 50_000 };
+    let loads: Vec<(UpstreamId, PeerLoad)> =
+        INSIDE[1..].iter().map(|id| ((*id).into(), busy)).collect();
+    let sent_to_idle = |router: u64| {
+        let mut dispatcher = fleet(&INSIDE, now);
+        dispatcher.apply(&ViewChange::Upstream("out-1".into(), engine_entry("out-1")), now);
+        state_usual_speed(&mut dispatcher, now);
+        let report = PeerReport::new("router-2".into(), ([127, 0, 0, 1], 7000).into(), 1, 1);
+        dispatcher.record_report(PeerReport { loads: loads.clone(), ..report }, now);
+        let mut call = model_call(1_000 + router, router, [0, 500], now);
+        call.prompt.iter_mut().for_each(|prompt| prompt.parts.retain(|part| part.tokens > 0));
+        send(&mut dispatcher, call, now).is_some_and(|(engine, _)| &*engine == "in-1")
+    };
+    let at_idle = (0..200).filter(|router| sent_to_idle(*router)).count();
+    expect_that!(at_idle, all!(ge(80), le(120)));
+}
+
 /// Has the engine outside read a shared part of a prompt while the one inside leaves; then more
 /// engines inside come.
 fn read_outside(dispatcher: &mut DirectDispatcher, tokens: [u32; 2], now: Instant) {
