--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -52,3 +52,4 @@
 mod version_load;
 mod version_move;
 mod view_freshness;
+mod zone_choice;
