Confirm the end of answers without length, and drop answers without a final status

Cause: an upstream that closes a connection before it has received the whole call sends an ordinary end first; the reset follows, and a read after the end does not report it. The part of an answer without length was then passed on as a whole 200. Answers with a status of 600 to 999, and 101, were passed on, since the HTTP library accepts them. A stream with a transfer coding other than chunked counted as framed.

Change: at the end of a body that ends with its connection, the gateway waits until the upstream has acknowledged all that was sent (connection_end.rs); otherwise the call counts as broken. An answer with a status below 200 or above 599 is dropped. What marks the end of a body follows from the HTTP library's view of it (BodyEnd).

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -1,11 +1,15 @@
-//! Collects answers that are passed on in one piece.
+//! Collects answers that are passed on in one piece, and finds out what marks the end of a body.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
+use http::header::TRANSFER_ENCODING;
+use http::{HeaderMap, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::buffer_memory::{BufferMemory, MemoryExhausted};
+use super::connection_end::EndError;
+use super::pool::LeasedConnection;
 
 /// Maximum size of an answer that is buffered, in bytes.
 const MAX_BUFFERED_ANSWER: usize = 8 << 20;
@@ -16,6 +20,9 @@
     /// The connection ended first.
     #[display("{_0}")]
     Ended(hyper::Error),
+    /// The body ended with its connection, and that was broken off.
+    #[display("{_0}")]
+    BrokenOff(EndError),
     /// The answer is longer than the limit.
     #[display("the answer is longer than {MAX_BUFFERED_ANSWER} bytes")]
     #[from(skip)]
@@ -25,8 +32,47 @@
     NoMemory(MemoryExhausted),
 }
 
-/// Reads the whole body of an answer.
+/// What marks the end of an answer's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// A length, the last chunk, or a status without a body.
+    Framing,
+    /// The end of the connection.
+    Connection,
+}
+
+impl BodyEnd {
+    /// Returns what marks the end of a body that is still unread.
+    pub fn of(head: &response::Parts, body: &Incoming) -> Self {
+        let has_length = body.is_end_stream() || body.size_hint().exact().is_some();
+        if has_length || is_chunked(&head.headers) { Self::Framing } else { Self::Connection }
+    }
+}
+
+/// Returns whether the last transfer coding is `chunked`; no other one marks the end.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last_line = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    last_line
+        .and_then(|line| line.to_str().ok())
+        .and_then(|line| line.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// Reads the whole body of an answer. If it ends with its connection, that has to end in order.
 pub async fn collect_answer(
+    body: Incoming,
+    end: BodyEnd,
+    lease: &mut LeasedConnection,
+    memory: &mut BufferMemory,
+) -> Result<Bytes, AnswerError> {
+    let bytes = collect_bytes(body, memory).await?;
+    if end == BodyEnd::Connection {
+        lease.confirm_end().await?;
+    }
+    Ok(bytes)
+}
+
+async fn collect_bytes(
     mut body: Incoming,
     memory: &mut BufferMemory,
 ) -> Result<Bytes, AnswerError> {
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use derive_more::Display;
 use http::{Request, Response, StatusCode, request, response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 use super::GatewayContext;
@@ -15,7 +15,7 @@
     AnswerMetadata, CallCodec, CallMetadata, ForwardedCall, GatewayAdapter, GatewayRefusal,
 };
 use super::admit::CALL_MEMORY_UNITS;
-use super::answer_body::collect_answer;
+use super::answer_body::{BodyEnd, collect_answer};
 use super::buffer_memory::BufferMemory;
 use super::call_log::CallLog;
 use super::event_frames::EventFrames;
@@ -97,18 +97,45 @@
     pub(super) lease: LeasedConnection,
     pub(super) body: Incoming,
     pub(super) frames: EventFrames,
-    /// Whether the end of the body is marked by a length or by chunks.
-    pub(super) is_framed: bool,
+    pub(super) end: BodyEnd,
     pub(super) grant: CallGrant,
     pub(super) metadata: AnswerMetadata,
     pub(super) run: ExecutedCall,
 }
 
+/// What a stream brings next.
+pub(super) enum StreamPart {
+    /// A part of its body.
+    Frame(Frame<Bytes>),
+    /// The end of the whole stream.
+    End,
+    /// The end of a stream that was broken off.
+    Broken,
+}
+
 impl RunningStream {
-    /// Returns whether the end of the body is the end of the stream. A body without a length or
-    /// chunks also ends when its upstream does, so such a stream without an event is broken.
-    pub(super) fn ends_whole(&self) -> bool {
-        !self.frames.has_partial() && (self.is_framed || self.guard.first_event_seen())
+    /// Receives the next part of the stream.
+    pub(super) async fn next_part(&mut self) -> StreamPart {
+        match self.body.frame().await {
+            Some(Ok(frame)) => StreamPart::Frame(frame),
+            None if self.ends_whole().await => StreamPart::End,
+            None | Some(Err(_)) => StreamPart::Broken,
+        }
+    }
+
+    /// Returns whether the end of the body is the end of the stream. A body without framing also
+    /// ends when its upstream does, so such a stream is broken without an event, and if its
+    /// connection does not end in order.
+    async fn ends_whole(&mut self) -> bool {
+        if self.frames.has_partial() {
+            return false;
+        }
+        match self.end {
+            BodyEnd::Framing => true,
+            BodyEnd::Connection => {
+                self.guard.first_event_seen() && self.lease.confirm_end().await.is_ok()
+            }
+        }
     }
 }
 
@@ -126,6 +153,17 @@
     Stream(response::Parts, Box<RunningStream>),
 }
 
+/// Why the head of an answer is not passed on.
+#[derive(Clone, Copy, Debug, Display)]
+enum AnswerProblem {
+    /// Its status ends no call.
+    #[display("no call ends with the status {_0:?}")]
+    NoFinalStatus(StatusCode),
+    /// It names another call, or says of an unnamed one that it has not run.
+    #[display("it may belong to another call")]
+    OtherCall,
+}
+
 /// A refusal by the control thread.
 pub(super) struct PlacementRefusal {
     cause: RefusalCause,
@@ -343,15 +381,15 @@
         call: SentCall,
         grant: CallGrant,
         mut guard: GrantGuard,
-        lease: LeasedConnection,
+        mut lease: LeasedConnection,
         answer: Response<Incoming>,
     ) -> AttemptOutcome {
         let (head, body) = answer.into_parts();
         let metadata = self.context.adapter.codec().read_answer(&head);
-        if !self.is_answered_by(&metadata, &lease) {
+        if let Err(problem) = self.check_answer(head.status, &metadata, &lease) {
             log::warn!(
                 id = self.admitted.id, upstream = &*grant.upstream, answers:? = metadata.attempt;
-                "dropped an answer that may belong to another call"
+                "dropped an answer: {problem}"
             );
             guard.end(CallOutcome::Broken);
             return AttemptOutcome::Failed(call.executed(), None);
@@ -359,18 +397,17 @@
         if self.is_certain_answer(&metadata, &lease) {
             guard.record_statements(self.admitted.id, &metadata, head.status);
         }
+        let end = BodyEnd::of(&head, &body);
         let is_stream = self.admitted.route.kind == CallKind::Stream;
         if is_stream && head.status.is_success() && metadata.signed {
             self.release_body();
             let frames = EventFrames::default();
-            let is_framed = is_framed(&head);
             let run = call.executed();
-            let stream =
-                RunningStream { guard, lease, body, frames, is_framed, grant, metadata, run };
+            let stream = RunningStream { guard, lease, body, frames, end, grant, metadata, run };
             return AttemptOutcome::Stream(head, Box::new(stream));
         }
         let mut memory = BufferMemory::new(Arc::clone(&self.context.memory));
-        let collecting = collect_answer(body, &mut memory);
+        let collecting = collect_answer(body, end, &mut lease, &mut memory);
         let body = match self.wait_until(self.final_deadline(), collecting).await {
             None => {
                 guard.end(self.timeout_outcome());
@@ -390,6 +427,22 @@
         self.classify_answer(call, guard, &metadata, head, body)
     }
 
+    /// Checks that an answer is one, and belongs to this call.
+    fn check_answer(
+        &self,
+        status: StatusCode,
+        answer: &AnswerMetadata,
+        lease: &LeasedConnection,
+    ) -> Result<(), AnswerProblem> {
+        if !is_final(status) {
+            Err(AnswerProblem::NoFinalStatus(status))
+        } else if !self.is_answered_by(answer, lease) {
+            Err(AnswerProblem::OtherCall)
+        } else {
+            Ok(())
+        }
+    }
+
     /// Returns whether an answer belongs to this call. On a connection with earlier answers, a
     /// statement that the call did not run has to name it, since it may be an earlier one that the
     /// upstream wrote once more.
@@ -576,9 +629,10 @@
     }
 }
 
-/// Returns whether the end of an answer's body is marked by a length or by chunks.
-fn is_framed(head: &response::Parts) -> bool {
-    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+/// Returns whether a status ends a call. Statuses below 200 are interim, and this router asks for no
+/// other protocol; HTTP defines no class above 599.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
 }
 
 /// Returns whether a status tells callers that the call has not run. Only the upstream's own
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod call_run;
 mod call_start;
 mod caller;
+mod connection_end;
 mod control;
 mod decision_log;
 mod event_frames;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -14,8 +14,9 @@
 use indexmap::IndexMap;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 
+use super::connection_end::{EndError, wait_closed};
 use super::observe::GatewayMetrics;
 use crate::ids::UpstreamId;
 
@@ -72,9 +73,10 @@
     reused: bool,
 }
 
-/// Aborts the connection's task, and so closes the connection, when dropped.
+/// Task of a connection, which returns how it ended. Dropping it aborts the task, and so closes the
+/// connection.
 #[derive(Debug)]
-struct ConnectionTask(AbortHandle);
+struct ConnectionTask(JoinHandle<Result<(), EndError>>);
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
@@ -110,6 +112,12 @@
             },
         }
     }
+
+    /// Waits for the end of the connection, which its upstream must have begun. It is in order if
+    /// the upstream has received all that was sent. May be called once.
+    pub async fn confirm_end(&mut self) -> Result<(), EndError> {
+        (&mut self.task.0).await.unwrap_or(Err(EndError::Aborted))
+    }
 }
 
 /// Idle connections by upstream.
@@ -209,18 +217,20 @@
         .map_err(|_| unreachable(format!("no connection within {CONNECT_TIMEOUT:?}")))?
         .map_err(|error| unreachable(error.to_string()))?;
     set_timeouts(&stream).map_err(|error| unreachable(error.to_string()))?;
-    let (sender, connection) = Builder::new()
+    let (sender, mut connection) = Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
     let task = tokio::spawn(async move {
         // The call in progress gets the error from the sender.
-        if let Err(error) = connection.await {
+        if let Err(error) = (&mut connection).await {
             log::debug!("connection to an upstream ended: {error}");
+            return Err(error.into());
         }
+        wait_closed(&connection.into_parts().io.into_inner()).await
     });
-    let task = ConnectionTask(task.abort_handle());
+    let task = ConnectionTask(task);
     Ok(LeasedConnection { upstream: UpstreamId::clone(upstream), sender, task, reused: false })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 
 use super::adapter::{GatewayAdapter, GatewayRefusal};
 use super::buffer_memory::{BufferMemory, MemoryExhausted};
-use super::call_run::{AttemptOutcome, CallRun, RunningStream};
+use super::call_run::{AttemptOutcome, CallRun, RunningStream, StreamPart};
 use super::event_frames::{EventFrames, OversizedEvent};
 use crate::decision::direct::{BudgetCharge, CallOutcome};
 use crate::lifecycle::call::ExecutedCall;
@@ -112,12 +112,12 @@
         loop {
             let stream = self.stream.as_mut()?;
             let deadline = self.run.final_deadline();
-            let frame = match tokio::time::timeout_at(deadline.into(), stream.body.frame()).await {
-                Ok(frame) => frame,
+            let part = match tokio::time::timeout_at(deadline.into(), stream.next_part()).await {
+                Ok(part) => part,
                 Err(_) => return Some(Err(self.time_out())),
             };
-            match frame {
-                Some(Ok(frame)) => {
+            match part {
+                StreamPart::Frame(frame) => {
                     let Ok(data) = frame.into_data() else { continue };
                     if let Err(error) = buffer_events(&mut stream.frames, &mut self.memory, &data) {
                         log::warn!(id = self.run.id(); "stream aborted: {error}");
@@ -130,11 +130,11 @@
                         return Some(Ok(events));
                     }
                 }
-                None if stream.ends_whole() => {
+                StreamPart::End => {
                     self.finish();
                     return None;
                 }
-                None | Some(Err(_)) => {
+                StreamPart::Broken => {
                     if let Some(ended) = self.resume_or_fail().await {
                         return Some(ended);
                     }
