Reset the connection of an HTTP/1.0 caller whose answer was broken off

Cause: a stream to HTTP/1.0 has neither length nor chunks, and its end is the end of the connection. When the upstream's stream broke, the gateway closed the caller's connection, as it does at the end of a whole stream; also on a connection that another router had handed over, and in the relay of that router.

Change: the server for callers and the handoff reset the connection of such a caller when the answer fails.

--- a/src/gateway/call_start.rs
+++ b/src/gateway/call_start.rs
@@ -54,6 +54,12 @@
         self.arrived + time_left
     }
 
+    /// Returns whether the answer may end with its connection, without a length or chunks.
+    pub(super) fn allows_unframed(&self) -> bool {
+        let line = self.bytes.split(|byte| *byte == b'\n').next().unwrap_or_default();
+        line.trim_ascii_end().ends_with(b"HTTP/1.0")
+    }
+
     fn time_left<A: GatewayAdapter>(&self, context: &GatewayContext<A>) -> Option<Duration> {
         let head = parse_head(&self.bytes)?;
         let metadata = context.adapter.codec().read_head(&head).ok()?;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,6 +1,7 @@
 //! Server for callers: runs the calls on their connections, and its graceful shutdown.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
 use super::adapter::{CallCodec, GatewayAdapter};
 use super::admit::admit;
 use super::call_run::CallRun;
+use super::connection_end::{UnframedAnswers, break_off};
 use super::events::ControlEvent;
 use super::pool::set_timeouts;
 use super::relay::{AnswerBody, full_body};
@@ -151,10 +153,13 @@
         return;
     }
     let limits = context.limits();
+    let unframed = UnframedAnswers::default();
     let service = {
         let context = Arc::clone(&context);
+        let unframed = unframed.clone();
         let is_next_charged = AtomicBool::new(is_charged);
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
+            unframed.record_call(request.version());
             let context = Arc::clone(&context);
             let is_charged = is_next_charged.swap(false, Ordering::Relaxed);
             // Without the box, hyper reserves the size of the whole future on every idle
@@ -169,21 +174,27 @@
             })
         })
     };
-    let connection = Builder::new()
+    let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.head_time)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let ended = tokio::select! {
-        ended = &mut connection => ended,
-        () = closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        ended = &mut connection => Some(ended),
+        () = closing.cancelled() => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = ended {
         log::debug!("caller's connection ended: {error}");
+        if unframed.are_possible() {
+            break_off(&connection.into_parts().io.into_inner());
+        }
     }
 }
 
--- a/src/gateway/connection_end.rs
+++ b/src/gateway/connection_end.rs
@@ -6,9 +6,12 @@
 //! that it sent.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use http::Version;
 use tokio::net::TcpStream;
 
 /// Pause before the second check whether a connection is closed; it doubles with each check.
@@ -47,3 +50,27 @@
         None => Ok(()),
     }
 }
+
+/// Ends a caller's connection whose answer was broken off. The end of the connection is the end of
+/// an answer to HTTP/1.0 that has no length, so the connection is reset.
+pub fn break_off(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::debug!("the caller's connection has ended before its answer: {error}");
+    }
+}
+
+/// Whether the answers on a caller's connection may end with it, as the last call shows.
+#[derive(Clone, Debug, Default)]
+pub struct UnframedAnswers(Arc<AtomicBool>);
+
+impl UnframedAnswers {
+    /// Records the HTTP version of a call.
+    pub fn record_call(&self, version: Version) {
+        self.0.store(version == Version::HTTP_10, Ordering::Relaxed);
+    }
+
+    /// Returns whether the last call was one whose answer may end with the connection.
+    pub fn are_possible(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -17,6 +17,7 @@
 use super::GatewayContext;
 use super::adapter::GatewayAdapter;
 use super::call_start::CallStart;
+use super::connection_end::break_off;
 use super::pool::set_timeouts;
 use crate::supervisor::StopSignal;
 
@@ -111,7 +112,7 @@
 async fn relay_call<A: GatewayAdapter>(
     context: &GatewayContext<A>,
     mut caller: TcpStream,
-    router: TcpStream,
+    mut router: TcpStream,
 ) -> io::Result<()> {
     set_timeouts(&caller)?;
     let start = CallStart::read(&mut caller, context.limits().head_time).await?;
@@ -122,15 +123,19 @@
             () = context.answers_due.cancelled() => {}
         }
     };
-    relay_bytes(caller, router, &start.bytes, give_up, deadline).await
+    let relayed = relay_bytes(&mut caller, &mut router, &start.bytes, give_up, deadline).await;
+    if relayed.is_err() && start.allows_unframed() {
+        break_off(&caller);
+    }
+    relayed
 }
 
 /// Sends the start of a call and copies bytes in both directions until the answer ends, the caller
 /// leaves or the deadline passes. If no answer has begun when `give_up` completes or the router
 /// ends the connection, the caller gets a final answer.
 async fn relay_bytes(
-    mut caller: TcpStream,
-    mut router: TcpStream,
+    caller: &mut TcpStream,
+    router: &mut TcpStream,
     start: &[u8],
     give_up: impl Future<Output = ()>,
     deadline: Instant,
