Confirm the end of answers, and drop odd statuses, at the agent too

Cause: the agent took the end of a connection for the end of an answer without length, also when the upstream had not received the whole call, and passed on every status that the HTTP library accepts.

Change: the agent's connections to its upstream report their end only when the upstream has received all that was sent (confirmed_stream.rs); an answer with a status below 200 or above 599 fails the run with an unknown outcome. ExtraAgent of the tests is split off from ExtraUpstream.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod claims;
+mod confirmed_stream;
 mod control;
 mod crash;
 mod crash_tracker;
--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{HeaderValue, Method, Request, Response, Uri};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -12,7 +12,9 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 
+use super::confirmed_stream::ConfirmingConnector;
 use super::events::UpstreamHealth;
+use crate::answer_checks::is_final;
 use crate::decision::admission::HealthReport;
 use crate::headers::apply_headers;
 use crate::ids::{AttemptId, RequestId, format_request_id};
@@ -52,14 +54,19 @@
     /// The call failed.
     #[display("the upstream failed: {_0}")]
     Failed(hyper_util::client::legacy::Error),
+    /// The status of the answer ends no call.
+    #[display("no call ends with the status {_0:?}")]
+    #[error(ignore)]
+    NoFinalStatus(StatusCode),
 }
 
 impl UpstreamError {
     /// Returns whether the upstream may have run the request.
     pub fn run_state(&self) -> RunState {
         match self {
-            Self::Failed(error) if !error.is_connect() => RunState::Unknown,
-            Self::Invalid(_) | Self::Failed(_) => RunState::No,
+            Self::Failed(error) if error.is_connect() => RunState::No,
+            Self::Failed(_) | Self::NoFinalStatus(_) => RunState::Unknown,
+            Self::Invalid(_) => RunState::No,
         }
     }
 }
@@ -74,11 +81,11 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamClient {
     base: String,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<ConfirmingConnector, Full<Bytes>>,
     /// Client that opens a new connection for each request, used for non-repeatable requests and
     /// for resuming streams. If the upstream closes an idle connection while a request is written
     /// to it, it is unknown whether the request was run, and the caller would not get an outcome.
-    single_use: Client<HttpConnector, Full<Bytes>>,
+    single_use: Client<ConfirmingConnector, Full<Bytes>>,
 }
 
 impl UpstreamClient {
@@ -87,6 +94,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let connector = ConfirmingConnector::from(connector);
         // The library must not resend requests; retries are decided by the retry policy.
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
@@ -144,7 +152,7 @@
             headers.insert("godwitcrank-team", value);
         }
         let client = if ticket.repeatable { &self.client } else { &self.single_use };
-        client.request(message).await.map_err(UpstreamError::Failed)
+        check_status(client.request(message).await.map_err(UpstreamError::Failed)?)
     }
 
     /// Resumes a stream on a new connection, after the token with the given index.
@@ -170,6 +178,11 @@
             .uri(format!("{}{path}", self.base))
             .body(Full::default())
             .map_err(UpstreamError::Invalid)?;
-        self.single_use.request(message).await.map_err(UpstreamError::Failed)
+        check_status(self.single_use.request(message).await.map_err(UpstreamError::Failed)?)
     }
 }
+
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, UpstreamError> {
+    let status = response.status();
+    if is_final(status) { Ok(response) } else { Err(UpstreamError::NoFinalStatus(status)) }
+}
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -23,6 +23,7 @@
 use super::grant_guard::GrantGuard;
 use super::pool::{LeasedConnection, SendError};
 use super::relay::{AnswerBody, RelayStream, full_body};
+use crate::answer_checks::is_final;
 use crate::decision::direct::{
     BudgetCharge, CallDecision, CallGrant, CallOutcome, PendingCall, PlannedSend, RefusalCause,
 };
@@ -629,12 +630,6 @@
     }
 }
 
-/// Returns whether a status ends a call. Statuses below 200 are interim, and this router asks for no
-/// other protocol; HTTP defines no class above 599.
-fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// Returns whether a status tells callers that the call has not run. Only the upstream's own
 /// statement can confirm that.
 fn implies_not_run(status: StatusCode) -> bool {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -16,8 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use super::connection_end::{EndError, wait_closed};
+use super::connection_end::EndError;
 use super::observe::GatewayMetrics;
+use crate::answer_checks::wait_closed;
 use crate::ids::UpstreamId;
 
 /// Time limit for opening a connection: several round trips between data centres.
@@ -228,7 +229,7 @@
             log::debug!("connection to an upstream ended: {error}");
             return Err(error.into());
         }
-        wait_closed(&connection.into_parts().io.into_inner()).await
+        Ok(wait_closed(&connection.into_parts().io.into_inner()).await?)
     });
     let task = ConnectionTask(task);
     Ok(LeasedConnection { upstream: UpstreamId::clone(upstream), sender, task, reused: false })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod agent;
+mod answer_checks;
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod admin;
 mod admission;
+mod answer_ends;
 mod answers;
 mod at_most_once;
 mod bench;
--- a/tests/testsuite/support/extra_upstream.rs
+++ b/tests/testsuite/support/extra_upstream.rs
@@ -49,6 +49,32 @@
         let arguments = arguments.map(str::to_owned);
         let (engine_process, report) = start_process(&programs.standin, &arguments, &log).await;
         let engine = parse_address(&report, "address");
+        let agent = ExtraAgent::start(fleet, plan, engine).await;
+        Self { engine, agent: agent.address, _processes: [engine_process, agent._process] }
+    }
+
+    /// Reads the engine's counters.
+    pub async fn read_counters(&self, fleet: &RunningFleet) -> Value {
+        fleet.client().get_json(self.engine, "/control/counters").await.expect("counters")
+    }
+
+    /// Returns the number of requests that the engine has received from `team-1`.
+    pub async fn received_requests(&self, fleet: &RunningFleet) -> u64 {
+        self.read_counters(fleet).await["by-team"]["team-1"]["requests"].as_u64().unwrap_or(0)
+    }
+}
+
+/// A running agent; it is killed when this value is dropped.
+pub struct ExtraAgent {
+    /// Peer address.
+    pub address: SocketAddr,
+    _process: RunningProcess,
+}
+
+impl ExtraAgent {
+    /// Starts the agent of an engine and adds it to the VM list.
+    pub async fn start(fleet: &RunningFleet, plan: &UpstreamPlan<'_>, engine: SocketAddr) -> Self {
+        let programs = programs();
         let platform = fleet.platform_address().expect("a platform");
         let settings = format!(
             "[node]\nid = \"agent-{name}\"\ndata-centre = \"caerdydd\"\n\
@@ -64,10 +90,10 @@
         std::fs::write(&file, settings).expect("a settings file");
         let arguments = ["--settings".to_owned(), file.display().to_string()];
         let log = fleet.folder().join(format!("agent-{}.log", plan.upstream));
-        let (agent_process, report) = start_process(&programs.agent, &arguments, &log).await;
-        let agent = parse_address(&report, "peer");
+        let (process, report) = start_process(&programs.agent, &arguments, &log).await;
+        let address = parse_address(&report, "peer");
         let entry = json!({
-            "node": format!("agent-{}", plan.upstream), "role": "agent", "address": agent,
+            "node": format!("agent-{}", plan.upstream), "role": "agent", "address": address,
             "data-centre": "caerdydd", "state": "live",
             "labels": {
                 "service": plan.service, "upstream": plan.upstream, "version": plan.listed_version,
@@ -75,17 +101,7 @@
         });
         let path = format!("/vms/agent-{}", plan.upstream);
         fleet.client().put_json(platform, &path, &entry).await.expect("a listed agent");
-        Self { engine, agent, _processes: [engine_process, agent_process] }
-    }
-
-    /// Reads the engine's counters.
-    pub async fn read_counters(&self, fleet: &RunningFleet) -> Value {
-        fleet.client().get_json(self.engine, "/control/counters").await.expect("counters")
-    }
-
-    /// Returns the number of requests that the engine has received from `team-1`.
-    pub async fn received_requests(&self, fleet: &RunningFleet) -> u64 {
-        self.read_counters(fleet).await["by-team"]["team-1"]["requests"].as_u64().unwrap_or(0)
+        Self { address, _process: process }
     }
 }
 
