--- a/src/router/caller.rs
+++ b/src/router/caller.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::BytesMut;
 use futures::{StreamExt, stream};
+use http::Version;
 use http_body_util::Full;
 use tokio::sync::mpsc;
 use tokio_rustls::TlsAcceptor;
@@ -31,6 +33,9 @@
 /// Capacity of the notice channel to a caller's task; at most one grant is outstanding at a time.
 const NOTICE_CAPACITY: usize = 4;
 
+/// Maximum size of an answer that is passed on in one piece, in bytes.
+const MAX_COLLECTED_BYTES: usize = 8 << 20;
+
 /// Listener for callers.
 pub struct CallerEndpoint {
     /// Bound listener.
@@ -87,6 +92,7 @@
 async fn handle(mut request: Request) -> viz::Result<Response> {
     let context = context_of(&request)?;
     let arrived = Instant::now();
+    let version = request.version();
     let admitted = match admit_request(&context, &mut request).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
@@ -95,16 +101,19 @@
         }
     };
     let observer = RequestObserver::new(&context, &admitted.ticket, arrived);
-    Ok(match run_request(&context, admitted).await {
+    Ok(match run_request(&context, admitted, version).await {
         Ok(response) => observer.observe_response(response),
         Err(refusal) => observer.finish_refused(refusal),
     })
 }
 
 /// Queues a request, waits for the head of its answer and returns a response that streams the body.
+/// A caller of HTTP/1.0 gets the body in one piece: the end of a stream would be the end of its
+/// connection, whether the answer is whole or not.
 async fn run_request(
     context: &Arc<RouterContext>,
     admitted: AdmittedRequest,
+    version: Version,
 ) -> Result<Response, CallerRefusal> {
     let in_flight = context.in_flight.enter();
     let (notices, notice_receiver) = mpsc::channel(NOTICE_CAPACITY);
@@ -116,6 +125,7 @@
     }
     let mut run = RequestRun::new(Arc::clone(context), identity, claim, notice_receiver);
     match run.head().await {
+        Ok(head) if version == Version::HTTP_10 => collect_answer(context, run, head).await,
         Ok(head) => Ok(stream_answer(
             run,
             head,
@@ -147,6 +157,32 @@
     build_response(head, Body::from_stream(body.boxed()))
 }
 
+/// Returns a response with the whole body of a run's answer.
+async fn collect_answer(
+    context: &RouterContext,
+    mut run: RequestRun,
+    head: AnswerHead,
+) -> Result<Response, CallerRefusal> {
+    let too_large = || CallerRefusal::unknown(RefusalReason::UpstreamFailed);
+    let mut body = BytesMut::new();
+    let mut reservations = Vec::new();
+    loop {
+        match run.next_data().await {
+            Ok(Some(bytes)) => {
+                reservations
+                    .push(context.bodies.reserve(bytes.len() as u64).ok_or_else(too_large)?);
+                body.extend_from_slice(&bytes);
+                if body.len() > MAX_COLLECTED_BYTES {
+                    return Err(too_large());
+                }
+            }
+            Ok(None) => return Ok(build_response(head, Body::from(Full::new(body.freeze())))),
+            Err(RequestEnd::Refused(refusal)) => return Err(refusal),
+            Err(RequestEnd::Stored(outcome)) => return stored_answer(outcome),
+        }
+    }
+}
+
 /// Returns the response for an outcome that is stored in the claim row.
 fn stored_answer(outcome: ClaimOutcome) -> Result<Response, CallerRefusal> {
     match outcome {
--- a/tests/testsuite/answer_ends.rs
+++ b/tests/testsuite/answer_ends.rs
@@ -233,3 +233,41 @@
         expect_that!(received, some(eq(&expected)), "{answer}");
     }
 }
+
+/// Sends a call of HTTP/1.0, to whose caller only a length or the end of the connection marks the
+/// end of an answer; returns all bytes up to the end of the connection.
+async fn send_old_call(fleet: &RunningFleet) -> String {
+    let router = fleet.caller_address("router-1").expect("it runs");
+    let mut caller = TcpStream::connect(router).await.expect("it listens");
+    let key = rand::random::<u64>();
+    let call = format!(
+        "POST /booking{ONCE} HTTP/1.0\r\nhost: {router}\r\nauthorization: Bearer key-team-1\r\n\
+         idempotency-key: {key}\r\ncontent-length: 4\r\n\r\ncall"
+    );
+    caller.write_all(call.as_bytes()).await.expect("it is read");
+    let mut answer = Vec::new();
+    // A reset also tells the caller that the answer is not whole.
+    match caller.read_to_end(&mut answer).await {
+        Ok(_) => String::from_utf8(answer).expect("it is text"),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Guards against a part of an answer being taken for the whole one by a caller to whom the end of
+/// the connection is the end of the answer.
+#[gtest]
+#[tokio::test]
+async fn old_caller_broken_answer_is_no_success() {
+    const PART: &str = "HTTP/1.1 200 OK\r\ncontent-length: 44\r\n\r\nonly a part";
+    let fleet = RawFleet::start("old_caller").await;
+    // The router knows the upstream once it has answered.
+    fleet.send(ONCE, &[RawAnswer::Late(WHOLE)]).await;
+    fleet.upstream.set_answers(&[RawAnswer::Late(PART)]);
+    let answer = send_old_call(&fleet.fleet).await;
+    let is_success = answer.starts_with("HTTP/1.0 200");
+    expect_that!(is_success, eq(false), "{answer}");
+    fleet.upstream.set_answers(&[RawAnswer::Late(WHOLE)]);
+    let answer = send_old_call(&fleet.fleet).await;
+    expect_that!(answer, starts_with("HTTP/1.0 200"));
+    expect_that!(answer, ends_with("\r\n\r\nthe whole answer"));
+}
