--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -9,9 +9,7 @@
 use crate::fleet::FleetContext;
 use crate::ids::{FencingNumber, NodeId};
 use crate::lease::{LeaseTable, LeaseWrite};
-use crate::store::{
-    HttpTable, RowCondition, RowWrite, TableRow, TableService, TransactionOutcome,
-};
+use crate::store::{HttpTable, RowCondition, RowWrite, TableRow, TableService, TransactionOutcome};
 
 /// Key of the lease row for the job that drives version moves.
 pub const MOVES_LEASE: &str = "lease/moves";
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -122,8 +122,7 @@
 
 /// Renews the lease; reads the row if the write fails.
 async fn renew(holder: LeaseHolder, table: &impl LeaseTable, now: Instant) -> JobLease {
-    let claim =
-        LeaseClaim { fencing: holder.fencing(), expected: Some(holder.expected_version()) };
+    let claim = LeaseClaim { fencing: holder.fencing(), expected: Some(holder.expected_version()) };
     match table.write(claim).await {
         Ok(LeaseWrite::Written(version)) => JobLease::Holding(holder.renew(version, now)),
         Ok(LeaseWrite::Conflict) | Err(_) => verify(holder, table, now).await,
