Bound what clients hold that do not keep to the limits

Change: route and key are looked up before the body is read. Memory is reserved as a body arrives. A body has to be complete by the call's deadline and to move within idle-ms, else 408. Each connection has a meter, and when connections or memory run short the stalled one that holds most is closed first (decision/direct/client_shedding.rs). A buffered answer keeps its reservation until it is written; the next request on a connection waits for the answers before. Probes are served on 64 connections at most.

Cost on the ordinary path was not measured.

--- a/src/decision/direct/mod.rs
+++ b/src/decision/direct/mod.rs
@@ -8,6 +8,7 @@
 mod call_progress;
 mod candidates;
 mod capacity;
+mod client_shedding;
 mod cold_limiter;
 mod dispatcher;
 mod drain_schedule;
@@ -43,6 +44,7 @@
 };
 pub use call_cost::CostEstimate;
 pub use capacity::FleetBounds;
+pub use client_shedding::{ClientPhase, ClientState, choose_for_memory, choose_for_room};
 pub use cold_limiter::ColdLimiter;
 pub use dispatcher::DirectDispatcher;
 pub use drain_schedule::{DrainSchedule, PlannedSend};
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -18,6 +18,10 @@
 /// Time after which accepting is tried again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Part of the connection limit that is freed at once when the limit is reached, so that the
+/// connections are not compared for each new one.
+const SHED_PARTS: usize = 32;
+
 /// Who opened a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionOrigin {
@@ -93,10 +97,9 @@
 ) -> eyre::Result<()> {
     loop {
         match listeners.accept().await {
-            Ok((stream, address, origin)) => match choose_treatment(context, origin) {
+            Ok((stream, address, origin)) => match choose_treatment(context, origin).await {
                 ConnectionTreatment::Serve { is_charged } => {
-                    let connection = CallerConnection { stream, origin, is_charged };
-                    spawn_serving(context, connection, closing);
+                    spawn_serving(context, stream, origin, is_charged, closing);
                 }
                 ConnectionTreatment::HandOver => spawn_handoff(context, stream, closing),
                 ConnectionTreatment::Close(reason) => close_unread(context, address, reason),
@@ -111,11 +114,11 @@
     }
 }
 
-fn choose_treatment<A: GatewayAdapter>(
+async fn choose_treatment<A: GatewayAdapter>(
     context: &GatewayContext<A>,
     origin: ConnectionOrigin,
 ) -> ConnectionTreatment {
-    if context.connections.count() >= context.connection_limit {
+    if !has_room(context).await {
         return ConnectionTreatment::Close("too many are open");
     }
     // The other router has read the call, so its caller could not try elsewhere.
@@ -130,19 +133,40 @@
     }
 }
 
+/// Returns whether there is room for another connection. Those that hold most and move least are
+/// closed for it.
+async fn has_room<A: GatewayAdapter>(context: &GatewayContext<A>) -> bool {
+    if context.connections.count() < context.connection_limit {
+        return true;
+    }
+    let count = (context.connection_limit / SHED_PARTS).max(1);
+    let is_shed = context.clients.shed_for_room(count, Instant::now());
+    if is_shed {
+        // The descriptor is free once the task has been dropped.
+        tokio::task::yield_now().await;
+    }
+    is_shed
+}
+
 fn spawn_serving<A: GatewayAdapter>(
     context: &Arc<GatewayContext<A>>,
-    connection: CallerConnection,
+    stream: TcpStream,
+    origin: ConnectionOrigin,
+    is_charged: bool,
     closing: &StopSignal,
 ) {
     context.admission.counts().count_connection(true);
     context.metrics.caller_connections.inc();
     let guard = context.connections.enter();
+    let registered = context.clients.enter(Instant::now());
+    let meter = registered.meter();
+    let connection = CallerConnection { stream, origin, is_charged, meter: Arc::clone(&meter) };
     let serving = serve_connection(Arc::clone(context), connection, closing.clone());
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         serving.await;
-        drop(guard);
+        drop((registered, guard));
     });
+    meter.set_task(task.abort_handle());
 }
 
 fn spawn_handoff<A: GatewayAdapter>(
--- a/src/gateway/adapter.rs
+++ b/src/gateway/adapter.rs
@@ -221,6 +221,8 @@
         /// Limit of the body's size, in bytes.
         limit: usize,
     },
+    /// The body did not arrive in time. The call has not run.
+    BodyTimedOut,
     /// The upstream received the call and gave no usable answer.
     UpstreamFailed,
     /// The deadline has passed.
@@ -236,6 +238,7 @@
             Self::UnknownRoute { .. } => StatusCode::NOT_FOUND,
             Self::UnknownKey { .. } => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -1,26 +1,26 @@
-//! Admits calls: reads the body within the memory limit and looks up route, team and service.
+//! Admits calls: looks up route, team and service, and reads the body.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_LENGTH, HOST};
+use http::header::HOST;
 use http::request;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::GatewayContext;
-use super::adapter::{CallCodec, CallMetadata, GatewayAdapter, GatewayRefusal};
+use super::adapter::{CallCodec, CallMetadata, GatewayAdapter, GatewayRefusal, HeadError};
+use super::body_reader::BodyReader;
 use super::call_run::AdmittedCall;
+use super::connection_meter::ConnectionMeter;
 use crate::decision::direct::{RefusalCause, ShedCall, call_work};
 use crate::ids::{CallFingerprint, RegionId, TeamId};
 use crate::routing::{RouteEntry, RouteMatch, RouteTable, select_target};
 
 /// Retry delay for callers of a router that has no configuration yet.
-const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+pub(super) const NOT_READY_RETRY: Duration = Duration::from_millis(300);
 
 /// Unit in which memory for calls is reserved, in bytes.
 pub const MEMORY_UNIT: usize = 1024;
@@ -29,27 +29,52 @@
 /// state.
 pub const CALL_MEMORY_UNITS: usize = 40;
 
-/// Reads a call's body, validates its head and looks up its route.
+/// A call that is refused before it is placed.
+#[derive(Debug)]
+pub(super) struct RefusedCall {
+    /// Why.
+    pub(super) refusal: GatewayRefusal,
+    /// Whether its body was read to the end, so that another call can follow on the connection.
+    pub(super) is_read: bool,
+}
+
+impl From<GatewayRefusal> for RefusedCall {
+    fn from(refusal: GatewayRefusal) -> Self {
+        Self { refusal, is_read: true }
+    }
+}
+
+/// A call whose head is valid, with the rights of its caller.
+struct RoutedCall {
+    metadata: CallMetadata,
+    table: Arc<RouteTable>,
+    rights: CallRoute,
+}
+
+/// Validates a call's head, looks up its route and reads its body.
 pub(super) async fn admit<A: GatewayAdapter>(
     context: &GatewayContext<A>,
     head: request::Parts,
     body: Incoming,
+    meter: &ConnectionMeter,
     arrived: Instant,
     is_charged: bool,
-) -> Result<AdmittedCall, GatewayRefusal> {
+) -> Result<AdmittedCall, RefusedCall> {
     let metadata = context.adapter.codec().read_head(&head);
     let within_rate = context.admission.try_admit(metadata.as_ref().ok(), is_charged, arrived);
-    let table = context.table.borrow().clone();
-    let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY });
-    let limit = context.limits().body_bytes;
-    let (body, memory) = read_body(context, &head, body, limit).await?;
-    let table = table?;
-    let metadata = metadata
-        .map_err(|error| log_refusal(&head, GatewayRefusal::BadHead { problem: error.problem }))?;
-    let CallRoute { route, team, priority, homes } = find_route(&table, &head, &metadata)?;
+    let limits = context.limits();
+    let reader = BodyReader { context, meter, limits };
+    let routed = match find_rights(context, &head, metadata) {
+        Ok(routed) => routed,
+        Err(refusal) => return Err(reader.refuse(body, refusal).await),
+    };
+    meter.record_routed();
+    let RoutedCall { metadata, table, rights: CallRoute { route, team, priority, homes } } = routed;
+    let time_left = metadata.time_left.unwrap_or(route.timeout).min(route.timeout);
+    let (body, memory) = reader.read(&head, body, arrived + time_left).await?;
     let fingerprint = fingerprint(&head, &metadata, &body);
     if !within_rate {
-        return Err(shed_call(context, &metadata, team.as_ref(), fingerprint));
+        return Err(shed_call(context, &metadata, team.as_ref(), fingerprint).into());
     }
     let service = select_target(&route, &metadata.attempt)
         .ok_or(GatewayRefusal::UnknownRoute { version: table.version() })?;
@@ -70,6 +95,19 @@
     })
 }
 
+fn find_rights<A: GatewayAdapter>(
+    context: &GatewayContext<A>,
+    head: &request::Parts,
+    metadata: Result<CallMetadata, HeadError>,
+) -> Result<RoutedCall, GatewayRefusal> {
+    let table = context.table.borrow().clone();
+    let table = table.ok_or(GatewayRefusal::NotReady { retry_after: NOT_READY_RETRY })?;
+    let metadata = metadata
+        .map_err(|error| log_refusal(head, GatewayRefusal::BadHead { problem: error.problem }))?;
+    let rights = find_route(&table, head, &metadata)?;
+    Ok(RoutedCall { metadata, table, rights })
+}
+
 /// Route of a call and the rights of its caller.
 struct CallRoute {
     route: Arc<RouteEntry>,
@@ -123,63 +161,8 @@
     refusal
 }
 
-/// Reads the whole body. The body of a refused call is read and dropped, so that the caller
-/// receives the refusal and not a connection reset.
-async fn read_body<A: GatewayAdapter>(
-    context: &GatewayContext<A>,
-    head: &request::Parts,
-    mut body: Incoming,
-    limit: usize,
-) -> Result<(Bytes, OwnedSemaphorePermit), GatewayRefusal> {
-    let declared_length = head
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok())
-        .and_then(|length| length.parse::<usize>().ok())
-        .or_else(|| body.size_hint().exact().and_then(|size| usize::try_from(size).ok()));
-    let no_memory =
-        || GatewayRefusal::NotRun { cause: RefusalCause::NoCapacity, retry_after: NOT_READY_RETRY };
-    let mut refusal = None;
-    let mut memory =
-        reserve(context, CALL_MEMORY_UNITS * MEMORY_UNIT + declared_length.unwrap_or_default());
-    let mut buffer = BytesMut::with_capacity(declared_length.unwrap_or_default().min(limit));
-    let mut single_frame: Option<Bytes> = None;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(GatewayRefusal::BadHead { problem: "the body ended early".to_owned() });
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        let length = buffer.len() + single_frame.as_ref().map_or(0, Bytes::len) + data.len();
-        if length > limit {
-            refusal = Some(GatewayRefusal::BodyTooLarge { limit });
-        }
-        if declared_length.is_none()
-            && let Some(permit) = &mut memory
-        {
-            match reserve(context, data.len()) {
-                Some(more) => permit.merge(more),
-                None => memory = None,
-            }
-        }
-        if refusal.is_some() || memory.is_none() {
-            buffer = BytesMut::new();
-            single_frame = None;
-            continue;
-        }
-        if buffer.is_empty() && single_frame.is_none() && declared_length == Some(data.len()) {
-            single_frame = Some(data);
-        } else {
-            buffer.extend_from_slice(&data);
-        }
-    }
-    match (refusal, memory) {
-        (Some(refusal), _) => Err(refusal),
-        (None, None) => Err(no_memory()),
-        (None, Some(memory)) => Ok((single_frame.unwrap_or_else(|| buffer.freeze()), memory)),
-    }
-}
-
-fn reserve<A: GatewayAdapter>(
+/// Reserves memory for calls, unless none is left.
+pub(super) fn reserve<A: GatewayAdapter>(
     context: &GatewayContext<A>,
     bytes: usize,
 ) -> Option<OwnedSemaphorePermit> {
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -37,7 +37,7 @@
         if length > MAX_BUFFERED_ANSWER {
             return Err(AnswerError::TooLong);
         }
-        memory.cover(length)?;
+        memory.cover_or_shed(length).await?;
         buffer.extend_from_slice(&data);
     }
     Ok(buffer.freeze())
--- a/src/gateway/call_run.rs
+++ b/src/gateway/call_run.rs
@@ -15,7 +15,7 @@
     AnswerMetadata, CallCodec, CallMetadata, ForwardedCall, GatewayAdapter, GatewayRefusal,
 };
 use super::admit::CALL_MEMORY_UNITS;
-use super::answer_body::collect_answer;
+use super::answer_body::{AnswerError, collect_answer};
 use super::buffer_memory::BufferMemory;
 use super::call_log::CallLog;
 use super::event_frames::EventFrames;
@@ -369,7 +369,7 @@
                 RunningStream { guard, lease, body, frames, is_framed, grant, metadata, run };
             return AttemptOutcome::Stream(head, Box::new(stream));
         }
-        let mut memory = BufferMemory::new(Arc::clone(&self.context.memory));
+        let mut memory = BufferMemory::new(&self.context);
         let collecting = collect_answer(body, &mut memory);
         let body = match self.wait_until(self.final_deadline(), collecting).await {
             None => {
@@ -381,10 +381,12 @@
                     id = self.admitted.id, upstream = &*grant.upstream;
                     "answer ended early: {error}"
                 );
-                guard.end(CallOutcome::Broken);
+                // A shortage of memory at this router says nothing about the upstream.
+                let is_own_fault = matches!(error, AnswerError::NoMemory(_));
+                guard.end(if is_own_fault { CallOutcome::Abandoned } else { CallOutcome::Broken });
                 return AttemptOutcome::Failed(call.executed(), None);
             }
-            Some(Ok(body)) => body,
+            Some(Ok(body)) => memory.attach(body),
         };
         self.context.pool.release(lease, grant.address, metadata.idle_limit);
         self.classify_answer(call, guard, &metadata, head, body)
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -16,9 +16,11 @@
 use super::GatewayContext;
 use super::accept::{CallerListeners, ConnectionOrigin, accept_callers};
 use super::adapter::{CallCodec, GatewayAdapter};
-use super::admit::admit;
+use super::admit::{RefusedCall, admit};
 use super::call_run::CallRun;
+use super::connection_meter::{ConnectionMeter, MeteredCall};
 use super::events::ControlEvent;
+use super::metered_stream::MeteredStream;
 use super::pool::set_timeouts;
 use super::relay::{AnswerBody, full_body};
 use super::tracked_body::TrackedBody;
@@ -137,6 +139,8 @@
     pub(super) origin: ConnectionOrigin,
     /// Whether the first call was charged as the connection was accepted.
     pub(super) is_charged: bool,
+    /// Meter of what it holds.
+    pub(super) meter: Arc<ConnectionMeter>,
 }
 
 /// Serves the calls on a connection; when `closing` is cancelled, it ends as soon as it is idle.
@@ -145,27 +149,34 @@
     connection: CallerConnection,
     closing: StopSignal,
 ) {
-    let CallerConnection { stream, origin, is_charged } = connection;
+    let CallerConnection { stream, origin, is_charged, meter } = connection;
     if let Err(error) = set_timeouts(&stream) {
         log::debug!("caller's connection ended before it was set up: {error}");
         return;
     }
     let limits = context.limits();
+    let metered_stream = MeteredStream::new(stream, Arc::clone(&meter));
     let service = {
         let context = Arc::clone(&context);
         let is_next_charged = AtomicBool::new(is_charged);
         service_fn(move |request| {
             let context = Arc::clone(&context);
+            let meter = Arc::clone(&meter);
             let is_charged = is_next_charged.swap(false, Ordering::Relaxed);
             // Without the box, hyper reserves the size of the whole future on every idle
             // connection.
             Box::pin(async move {
+                // Answers that a caller does not read must not pile up.
+                meter.wait_read().await;
                 let guard = context.in_flight.enter();
-                let mut answer = handle(Arc::clone(&context), request, is_charged).await;
+                let arrived = Instant::now();
+                let call = MeteredCall::new(meter, arrived);
+                let mut answer =
+                    handle(Arc::clone(&context), request, call.meter(), arrived, is_charged).await;
                 if origin == ConnectionOrigin::Router || context.sends_callers_away() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, guard)))
+                Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, guard, call)))
             })
         })
     };
@@ -173,7 +184,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.head_time)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(metered_stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => ended,
@@ -191,15 +202,20 @@
 async fn handle<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
     request: Request<Incoming>,
+    meter: &ConnectionMeter,
+    arrived: Instant,
     is_charged: bool,
 ) -> Response<AnswerBody> {
-    let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    match admit(&context, head, body, arrived, is_charged).await {
+    match admit(&context, head, body, meter, arrived, is_charged).await {
         Ok(admitted_call) => CallRun::new(context, admitted_call).answer().await,
-        Err(refusal) => {
+        Err(RefusedCall { refusal, is_read }) => {
             context.metrics.count_call(format!("refused {}", refusal.status().as_u16()));
-            context.adapter.codec().refuse(&refusal).map(full_body)
+            let mut answer = context.adapter.codec().refuse(&refusal).map(full_body);
+            if !is_read {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            answer
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,11 +10,14 @@
 mod adapter;
 mod admit;
 mod answer_body;
+mod body_memory;
+mod body_reader;
 mod buffer_memory;
 mod call_log;
 mod call_run;
 mod call_start;
 mod caller;
+mod connection_meter;
 mod control;
 mod decision_log;
 mod event_frames;
@@ -24,6 +27,7 @@
 mod handoff;
 mod load_log;
 mod members;
+mod metered_stream;
 mod moves;
 mod observe;
 mod overload;
@@ -31,6 +35,7 @@
 mod peers;
 mod pool;
 mod processor_time;
+mod ready_server;
 mod relay;
 mod settings;
 mod tracked_body;
@@ -43,10 +48,8 @@
 use eyre::WrapErr;
 use tokio::net::UdpSocket;
 use tokio::sync::{Mutex, Semaphore, watch};
-use viz::{Request, Router};
 
 use crate::clock::incarnation;
-use crate::daemon::ready_response;
 use crate::decision::direct::{DrainSchedule, HandoffOffer};
 use crate::ids::Incarnation;
 use crate::in_flight::InFlightCounter;
@@ -67,6 +70,7 @@
 use accept::CallerListeners;
 use admit::MEMORY_UNIT;
 use caller::CallCounter;
+use connection_meter::ConnectionRegistry;
 use control::{ControlContext, OutboxReceivers, TableWatch, control_channels, run_control};
 use events::{ControlEvent, ControlSender};
 use follow::CheckSignals;
@@ -94,6 +98,7 @@
     in_flight: InFlightCounter,
     connections: InFlightCounter,
     connection_limit: usize,
+    clients: Arc<ConnectionRegistry>,
     /// Time limits of the shutdown, once it has started.
     drain: OnceLock<DrainSchedule>,
     /// Cancelled when every call has to be answered, as the process is about to end.
@@ -155,6 +160,7 @@
             in_flight: InFlightCounter::default(),
             connections: InFlightCounter::default(),
             connection_limit: settings.connection_limit(),
+            clients: Arc::default(),
             drain: OnceLock::new(),
             answers_due: StopSignal::new(),
             overloaded: watch::Sender::new(false),
@@ -198,6 +204,7 @@
         let moves = Arc::new(Mutex::new(moves));
         let starting: StartingSlot = Arc::new(Mutex::new(Some(starting)));
         let stop_grace = context.settings.stop_grace;
+        let ready_connections = context.settings.ready_connection_limit();
         SupervisorTree::new("gateway")
             .child(ChildSpec::permanent("control", move |stop| {
                 let control_context = control_context.clone();
@@ -219,10 +226,11 @@
             .child(child(&context, "peer-server", move |context, stop| {
                 serve_until(sockets.peer.clone(), peer_server::peer_router(context), stop)
             }))
-            .child(child(&context, "pool-sweep", sweep_pool))
+            .child(child(&context, "pool-sweep", sweep_connections))
             .child(child(&context, "pressure", overload::monitor_overload))
             .child(ChildSpec::permanent("ready", move |stop| {
-                serve_until(sockets.ready.clone(), ready_router(ready.clone()), stop)
+                let slot = sockets.ready.clone();
+                ready_server::serve_ready(slot, ready.clone(), ready_connections, stop)
             }))
             .child(
                 child(&context, "callers", move |context, stop| {
@@ -280,8 +288,9 @@
     ChildSpec::transient(name, move |stop| follow::follow(Arc::clone(&context), part, stop))
 }
 
-/// Removes expired idle connections from the pool until `stop` is cancelled.
-async fn sweep_pool<A: GatewayAdapter>(
+/// Removes expired idle connections from the pool, and closes the connections of callers that do not
+/// read, until `stop` is cancelled.
+async fn sweep_connections<A: GatewayAdapter>(
     context: Arc<GatewayContext<A>>,
     stop: StopSignal,
 ) -> eyre::Result<()> {
@@ -289,15 +298,22 @@
     loop {
         tokio::select! {
             () = stop.cancelled() => return Ok(()),
-            _ = tick.tick() => context.pool.remove_expired(),
+            _ = tick.tick() => {}
         }
+        context.pool.remove_expired();
+        context.clients.close_overdue(context.limits().idle_time, Instant::now());
+        log_shed(&context);
     }
 }
 
-/// Creates the router that answers the balancer's health checks on any path.
-fn ready_router(ready: ReadyWatch) -> Router {
-    Router::new().any("/*", move |_: Request| {
-        let response = ready_response(&ready);
-        async move { Ok::<_, viz::Error>(response) }
-    })
+/// Logs and counts the connections that were closed because their clients held too much.
+fn log_shed<A: GatewayAdapter>(context: &GatewayContext<A>) {
+    let shed = context.clients.take_shed();
+    if shed > 0 {
+        context.metrics.shed_connections.inc_by(shed.into());
+        log::warn!(
+            connections = shed, open = context.connections.count();
+            "closed connections of callers that hold most and move least"
+        );
+    }
 }
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -67,6 +67,8 @@
     pub closed_connections: Counter,
     /// Pending calls.
     pub waiting: Gauge,
+    /// Callers' connections that were closed since they held most and moved least.
+    pub shed_connections: Counter,
     /// Calls in progress at upstreams.
     pub granted: Gauge,
     /// Routers that may be alive.
@@ -102,6 +104,7 @@
             connections: Counter::default(),
             caller_connections: Counter::default(),
             closed_connections: Counter::default(),
+            shed_connections: Counter::default(),
             waiting: Gauge::default(),
             granted: Gauge::default(),
             routers: Gauge::default(),
@@ -153,6 +156,11 @@
             "Connections of callers that were closed unread",
             self.closed_connections.clone(),
         );
+        registry.register(
+            "shed_connections",
+            "Connections of callers that were closed since they held most and moved least",
+            self.shed_connections.clone(),
+        );
         registry.register("waiting_calls", "Calls without an upstream", self.waiting.clone());
         registry.register("granted_calls", "Calls at upstreams", self.granted.clone());
         registry.register("routers", "Routers that may be alive", self.routers.clone());
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -19,6 +19,9 @@
 /// Time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Fraction of the connection limit from which connections that may be closed are told from others.
+const COUNTED_CONNECTIONS: f64 = 0.4;
+
 /// Overload control that connections and the monitor share, and the calls that it refused.
 #[derive(Debug)]
 pub(super) struct CallAdmission {
@@ -143,6 +146,17 @@
     context.send_event(ControlEvent::SpareRate(spare_rate));
 }
 
+/// Returns the fraction of the connections that cannot be closed to make room. Connections of
+/// clients that stand still or are idle do not take the router out of rotation.
+fn connections_used<A: GatewayAdapter>(context: &GatewayContext<A>, now: Instant) -> f64 {
+    let limit = context.connection_limit.max(1) as f64;
+    let used = context.connections.count();
+    if used as f64 / limit < COUNTED_CONNECTIONS {
+        return used as f64 / limit;
+    }
+    used.saturating_sub(context.clients.count_sheddable(now)) as f64 / limit
+}
+
 /// Records a sample and logs when the overload begins or ends.
 fn record_sample<A: GatewayAdapter>(
     context: &GatewayContext<A>,
@@ -150,8 +164,7 @@
     interval: Duration,
     now: Instant,
 ) -> Option<bool> {
-    let connections_used =
-        context.connections.count() as f64 / context.connection_limit.max(1) as f64;
+    let connections_used = connections_used(context, now);
     let mut control = context.admission.control();
     let overloaded = control.record(lateness, connections_used, interval, now)?;
     let detector = control.detector();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,8 +1,6 @@
 //! Relays an event stream to the caller, and resumes it at another upstream when it breaks and its
 //! route allows that.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use futures::stream;
@@ -83,7 +81,7 @@
 impl<A: GatewayAdapter> RelayStream<A> {
     /// Starts to relay a stream.
     pub(super) fn new(run: CallRun<A>, stream: RunningStream) -> Self {
-        let memory = BufferMemory::new(Arc::clone(&run.context().memory));
+        let memory = BufferMemory::new(run.context());
         Self { run, stream: Some(stream), memory, first_event_seen: false, writes: 0 }
     }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -24,6 +24,11 @@
 /// Fraction of the file descriptors for callers' connections.
 const CONNECTION_DESCRIPTOR_FRACTION: f64 = 0.6;
 
+/// Fraction of the file descriptors for connections to the readiness address, and the most that
+/// are of use: the probes of a few balancers.
+const READY_DESCRIPTOR_FRACTION: f64 = 0.125;
+const MAX_READY_CONNECTIONS: usize = 64;
+
 /// Settings of one gateway process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -65,6 +70,12 @@
         by_memory.min((self.descriptors as f64 * CONNECTION_DESCRIPTOR_FRACTION) as usize)
     }
 
+    /// Returns the maximum number of connections to the readiness address.
+    pub fn ready_connection_limit(&self) -> usize {
+        let by_descriptors = (self.descriptors as f64 * READY_DESCRIPTOR_FRACTION) as usize;
+        by_descriptors.clamp(1, MAX_READY_CONNECTIONS)
+    }
+
     fn spare_memory(&self, fraction: f64) -> usize {
         (self.memory_bytes.saturating_sub(BASE_MEMORY) as f64 * fraction) as usize
     }
--- a/src/gateway/tracked_body.rs
+++ b/src/gateway/tracked_body.rs
@@ -6,19 +6,24 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::admit::{CALL_MEMORY_UNITS, MEMORY_UNIT};
+use super::buffer_memory::COVERED_BYTES;
+use super::connection_meter::MeteredCall;
 use super::relay::{AnswerBody, RelayError};
 use crate::in_flight::InFlightGuard;
 
-/// Response body with the in-flight guard of its call.
+/// Response body with the guards of its call.
 pub struct TrackedBody {
     body: AnswerBody,
     _guard: InFlightGuard,
+    _call: MeteredCall,
 }
 
 impl TrackedBody {
-    /// Combines a body with the guard of its call.
-    pub fn new(body: AnswerBody, guard: InFlightGuard) -> Self {
-        Self { body, _guard: guard }
+    /// Combines a body with the guards of its call.
+    pub(super) fn new(body: AnswerBody, guard: InFlightGuard, call: MeteredCall) -> Self {
+        call.meter().record_answer(reserved_bytes(&body));
+        Self { body, _guard: guard, _call: call }
     }
 }
 
@@ -41,3 +46,12 @@
         self.body.size_hint()
     }
 }
+
+/// Returns the memory that is reserved for an answer while it is written: for a stream that of its
+/// call, else what exceeds the reservation of a call that has ended.
+fn reserved_bytes(body: &AnswerBody) -> usize {
+    match body.size_hint().exact().map(usize::try_from) {
+        Some(Ok(size)) => size.saturating_sub(COVERED_BYTES),
+        _ => CALL_MEMORY_UNITS * MEMORY_UNIT,
+    }
+}
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -29,11 +29,13 @@
 }
 
 impl ListenerSlot {
-    fn get(&self) -> Option<Arc<NodelayListener>> {
+    /// Returns the listener unless it was closed.
+    pub fn get(&self) -> Option<Arc<NodelayListener>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn close(&self) {
+    /// Closes the listener once no server uses it.
+    pub fn close(&self) {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).take();
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod bench;
 mod burn_rate;
 mod claim;
+mod client_shedding;
 mod configuration;
 mod data_centres;
 mod direct_dispatch;
