--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -83,7 +83,7 @@
         if length > MAX_BUFFERED_ANSWER {
             return Err(AnswerError::TooLong);
         }
-        memory.cover(length)?;
+        memory.cover_or_shed(length).await?;
         buffer.extend_from_slice(&data);
     }
     Ok(buffer.freeze())
