--- a/src/decision/direct/dispatcher.rs
+++ b/src/decision/direct/dispatcher.rs
@@ -252,7 +252,6 @@
         for service in self.services.values_mut() {
             service.pace.adjust(now);
         }
-        self.assume_unmeasured_rates();
         self.adjust_zone_shares(now);
         self.demand.refresh(&self.peers, now);
         self.refresh_scaled_services(now);
