--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod pool;
 mod processor_time;
 mod ready_server;
+mod received_body;
 mod relay;
 mod restore_log;
 mod settings;
