--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -2,23 +2,21 @@
 //! usage, writes them down and reports them to the platform, and orders engines.
 
 use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use indexmap::IndexMap;
 use tokio::sync::{oneshot, watch};
 
 use super::GatewayContext;
-use super::adapter::{
-    DutyAnswer, DutyStamp, DutyWrite, FleetSource, GatewayAdapter, SourceError, StoredDuties,
-};
+use super::adapter::{DutyAnswer, DutyStamp, DutyWrite, FleetSource, GatewayAdapter, StoredDuties};
+use super::duty_table::DutyTable;
 use super::events::ControlEvent;
 use super::settings::DutySettings;
 use crate::decision::direct::{EngineScaler, ScalingOrder, ScalingSubject};
 use crate::decision::duty::{ClockContinuity, ClosedWindow, DutyStatus, UsageRecord};
-use crate::decision::lease::{LeaseClaim, LeaseRow};
 use crate::ids::{FencingNumber, NodeId, RowVersion, StoreEra, UsageWindow};
-use crate::lease::{JobLease, LeaseTable, LeaseWrite};
+use crate::lease::JobLease;
 use crate::supervisor::StopSignal;
 
 /// Time between two rounds, and so between two attempts of a call that failed.
@@ -31,10 +29,6 @@
 /// call is sent, so that none arrives after another router has taken over.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Number of low bits of a fencing number that count the holders within one era of the store. The
-/// era is above them: a store that was restored from an older copy may have forgotten numbers.
-const ERA_SHIFT: u32 = 20;
-
 /// Time between two decisions about the numbers of engines.
 const SCALING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -83,61 +77,6 @@
     }
 }
 
-/// The lease row of the duties, for one router.
-struct DutyTable<'a, S> {
-    source: &'a S,
-    node: &'a NodeId,
-    highest_fencing: FencingNumber,
-    /// What was read last, for the record beside the lease.
-    stored: Mutex<Option<StoredDuties>>,
-}
-
-impl<'a, S: FleetSource> DutyTable<'a, S> {
-    fn new(source: &'a S, node: &'a NodeId, highest_fencing: FencingNumber) -> Self {
-        Self { source, node, highest_fencing, stored: Mutex::new(None) }
-    }
-
-    fn into_stored(self) -> Option<StoredDuties> {
-        self.stored.into_inner().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl<S: FleetSource> LeaseTable for DutyTable<'_, S> {
-    type Error = SourceError;
-
-    fn node(&self) -> &NodeId {
-        self.node
-    }
-
-    /// Reads the row. One that is absent reads as held by nobody, so that it is not taken before a
-    /// full term: after the store was restored, the holder may not know yet that its row is gone.
-    async fn read(&self) -> Result<Option<LeaseRow>, SourceError> {
-        let stored = self.source.read_duties().await?;
-        let floor = self.highest_fencing.max(stored.era << ERA_SHIFT);
-        let row = match &stored.lease {
-            Some(lease) => LeaseRow {
-                holder: NodeId::clone(&lease.holder),
-                fencing: lease.fencing.max(floor),
-                row_version: lease.version,
-            },
-            None => LeaseRow { holder: NodeId::from(""), fencing: floor, row_version: 0 },
-        };
-        *self.stored.lock().unwrap_or_else(PoisonError::into_inner) = Some(stored);
-        Ok(Some(row))
-    }
-
-    async fn write(&self, claim: LeaseClaim) -> Result<LeaseWrite, SourceError> {
-        let write = DutyWrite {
-            holder: NodeId::clone(self.node),
-            fencing: claim.fencing,
-            expected: claim.expected.unwrap_or(0),
-            usage: None,
-        };
-        let written = self.source.write_duties(&write).await?;
-        Ok(written.map_or(LeaseWrite::Conflict, |written| LeaseWrite::Written(written.version)))
-    }
-}
-
 /// Record of the closed windows as this holder knows it.
 #[derive(Debug, Default)]
 struct KnownRecord {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod control;
 mod decision_log;
 mod duties;
+mod duty_table;
 mod event_frames;
 mod events;
 mod follow;
