Collect answers in segments of one size

As for bodies: answers of 4 MiB in buffers that grow left gaps in the heap, and the crowds with large answers took the process to 54 to 64 MB of 64. The tests of path, late_calls and faulty_answers pass.

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -1,11 +1,12 @@
 //! Collects answers that are passed on in one piece.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::buffer_memory::{BufferMemory, MemoryExhausted};
+use super::received_body::ReceivedBody;
 
 /// Maximum size of an answer that is buffered, in bytes.
 const MAX_BUFFERED_ANSWER: usize = 8 << 20;
@@ -30,15 +31,15 @@
     mut body: Incoming,
     memory: &mut BufferMemory,
 ) -> Result<Bytes, AnswerError> {
-    let mut buffer = BytesMut::new();
+    let mut received = ReceivedBody::new(None);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        let length = buffer.len() + data.len();
+        let length = received.len() + data.len();
         if length > MAX_BUFFERED_ANSWER {
             return Err(AnswerError::TooLong);
         }
         memory.cover_or_shed(length).await?;
-        buffer.extend_from_slice(&data);
+        received.push(data);
     }
-    Ok(buffer.freeze())
+    Ok(received.into_bytes())
 }
