--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -1,6 +1,6 @@
 //! Collects answers that are passed on in one piece, and finds out what marks the end of a body.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use http::header::TRANSFER_ENCODING;
 use http::{HeaderMap, response};
@@ -10,6 +10,7 @@
 use super::buffer_memory::{BufferMemory, MemoryExhausted};
 use super::connection_end::EndError;
 use super::pool::LeasedConnection;
+use super::received_body::ReceivedBody;
 
 /// Maximum size of an answer that is buffered, in bytes.
 const MAX_BUFFERED_ANSWER: usize = 8 << 20;
@@ -49,6 +50,12 @@
     }
 }
 
+/// Returns whether a body states a length that can be buffered.
+pub fn has_buffered_length(body: &Incoming) -> bool {
+    let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    length.is_some_and(|length| length <= MAX_BUFFERED_ANSWER)
+}
+
 /// Returns whether the last transfer coding is `chunked`; no other one marks the end.
 fn is_chunked(headers: &HeaderMap) -> bool {
     let last_line = headers.get_all(TRANSFER_ENCODING).iter().next_back();
@@ -76,15 +83,15 @@
     mut body: Incoming,
     memory: &mut BufferMemory,
 ) -> Result<Bytes, AnswerError> {
-    let mut buffer = BytesMut::new();
+    let mut received = ReceivedBody::new(None);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        let length = buffer.len() + data.len();
+        let length = received.len() + data.len();
         if length > MAX_BUFFERED_ANSWER {
             return Err(AnswerError::TooLong);
         }
         memory.cover_or_shed(length).await?;
-        buffer.extend_from_slice(&data);
+        received.push(data);
     }
-    Ok(buffer.freeze())
+    Ok(received.into_bytes())
 }
