Send orders beyond the refused ones, and keep windows until they are due

Cause: a review of the change. Eight refused orders were sent again each second, so later ones waited; counts were kept for six windows whatever the time until a report is due; a lease term within the time limit of a call would never allow one.

Comments and names that the review stumbled on.

Result: duty::close_next_many_windows_until_due; the other tests of duty pass.

--- a/src/decision/direct/stated_load.rs
+++ b/src/decision/direct/stated_load.rs
@@ -22,8 +22,8 @@
 /// Least age that is assumed of a source: the calls that are on their way are in neither.
 const MIN_AGE: Duration = Duration::from_millis(5);
 
-/// Age at which a stated slowdown counts about a third: most spells are not much longer.
-const SPELL_TIME: Duration = Duration::from_millis(400);
+/// Time constant with which a stated slowdown loses its weight, as slow phases are short.
+const SLOWDOWN_DECAY_TIME: Duration = Duration::from_millis(400);
 
 /// Largest slowdown that an upstream may state, in percent.
 const MAX_SLOWDOWN_PERCENT: u32 = 10_000;
@@ -187,7 +187,7 @@
     pub fn slowdown_factor(&self, now: Instant) -> f64 {
         let Some((last, age)) = self.current(now) else { return 1.0 };
         let Some(slowdown) = last.slowdown else { return 1.0 };
-        let weight = (-age.as_secs_f64() / SPELL_TIME.as_secs_f64()).exp();
+        let weight = (-age.as_secs_f64() / SLOWDOWN_DECAY_TIME.as_secs_f64()).exp();
         1.0 + weight * (slowdown.factor() - 1.0)
     }
 
--- a/src/decision/direct/zone_candidates.rs
+++ b/src/decision/direct/zone_candidates.rs
@@ -14,7 +14,7 @@
 use crate::ids::ServiceId;
 
 /// Fraction of a call's objective; a call whose first event is expected within it inside does not
-/// look outside. 0.35 sent half as many calls again to other data centres, hardly any less late.
+/// look outside.
 const CALL_ROOM_FRACTION: f64 = 0.45;
 
 /// Best engine of one side for a call.
--- a/src/decision/duty/true_clock.rs
+++ b/src/decision/duty/fleet_clock.rs
@@ -15,11 +15,11 @@
 
 /// Estimate of the true time of day.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct TrueClock {
+pub struct FleetClock {
     reading: Option<StoreReading>,
 }
 
-impl TrueClock {
+impl FleetClock {
     /// Records the time of the store's clock at `at`.
     pub fn record_store_time(&mut self, time: Duration, at: Instant) {
         self.reading = Some(StoreReading { time, at });
--- a/src/decision/duty/holder_watch.rs
+++ b/src/decision/duty/holder_watch.rs
@@ -41,7 +41,8 @@
         Self { holder: None, heard_at: now, highest_fencing: 0, closed_through: None }
     }
 
-    /// Records the report of a router that holds the duties. A holder that was replaced is ignored.
+    /// Records the report of a router that holds the duties. One that was replaced does not become
+    /// the holder again, but the windows that it closed still count.
     pub fn record(&mut self, node: &NodeId, status: DutyStatus, now: Instant) {
         self.closed_through = self.closed_through.max(status.closed_through);
         if status.fencing < self.highest_fencing {
--- a/src/decision/duty/mod.rs
+++ b/src/decision/duty/mod.rs
@@ -5,13 +5,13 @@
 //! it works.
 
 mod continuity;
+mod fleet_clock;
 mod holder_watch;
-mod true_clock;
 mod usage_ledger;
 mod usage_record;
 
 pub use continuity::ClockContinuity;
+pub use fleet_clock::FleetClock;
 pub use holder_watch::{DutyStatus, HolderWatch};
-pub use true_clock::TrueClock;
 pub use usage_ledger::{ClosedWindow, UsageLedger, UsageReport, WindowSchedule};
 pub use usage_record::UsageRecord;
--- a/src/decision/duty/usage_ledger.rs
+++ b/src/decision/duty/usage_ledger.rs
@@ -11,8 +11,8 @@
 
 use crate::ids::{Incarnation, NodeId, TeamId, UsageWindow};
 
-/// Windows that are kept besides the current one.
-const KEPT_WINDOWS: u64 = 6;
+/// Windows that are kept besides the current one and those that may still be reported.
+const SPARE_WINDOWS: u64 = 3;
 
 /// Time after the end of a window before which it is not closed: reports of its last calls are on
 /// their way.
@@ -38,6 +38,13 @@
         UsageWindow::try_from(time.as_millis() / length).unwrap_or(UsageWindow::MAX)
     }
 
+    /// Returns the number of windows whose counts are kept besides the current one.
+    fn kept_windows(&self) -> u64 {
+        let length = self.length.as_millis().max(1);
+        let due = self.due_after.as_millis().div_ceil(length);
+        u64::try_from(due).unwrap_or(u64::MAX).saturating_add(SPARE_WINDOWS)
+    }
+
     /// Returns the end of a window.
     pub fn end_of(&self, window: UsageWindow) -> Duration {
         let length = u64::try_from(self.length.as_millis()).unwrap_or(u64::MAX);
@@ -163,7 +170,7 @@
     }
 
     fn forget_old(&mut self, now: Duration) {
-        let oldest = self.schedule.window_at(now).saturating_sub(KEPT_WINDOWS);
+        let oldest = self.schedule.window_at(now).saturating_sub(self.schedule.kept_windows());
         self.own.retain(|window, _| *window >= oldest);
         for peer in self.peers.values_mut() {
             peer.windows.retain(|window, _| *window >= oldest);
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -27,7 +27,7 @@
 
 /// Longest time that a call to the platform may take. The lease must be valid for as long when the
 /// call is sent, so that none arrives after another router has taken over.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+pub const DUTY_CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time between two decisions about the numbers of engines.
 const SCALING_INTERVAL: Duration = Duration::from_secs(1);
@@ -98,6 +98,8 @@
     scalers: IndexMap<ScalingSubject, EngineScaler>,
     /// When they were last made.
     scaled_at: Option<Instant>,
+    /// Number of orders sent, so that refused ones do not hold up the others.
+    orders_sent: usize,
 }
 
 struct DutyRunner<A: GatewayAdapter> {
@@ -237,6 +239,7 @@
             known: KnownRecord { record, version: version.unwrap_or_default() },
             scalers: IndexMap::new(),
             scaled_at: None,
+            orders_sent: 0,
         });
     }
 
@@ -309,7 +312,7 @@
             let stamp = DutyStamp { holder: NodeId::clone(&self.context.settings.node), fencing };
             let sending = self.context.adapter.source().report_usage(&stamp, closed);
             let calls: u64 = closed.counts.values().sum();
-            match tokio::time::timeout(CALL_TIMEOUT, sending).await {
+            match tokio::time::timeout(DUTY_CALL_TIMEOUT, sending).await {
                 Ok(Ok(DutyAnswer::Accepted)) => {
                     log::info!(window = closed.window, fencing, calls; "usage reported");
                     self.context.metrics.usage_reports.inc();
@@ -346,7 +349,7 @@
         let Ok(inputs) = inputs.await else { return };
         let Some(held) = &mut self.held else { return };
         let now = Instant::now();
-        let orders: Vec<ScalingOrder> = inputs
+        let mut orders: Vec<ScalingOrder> = inputs
             .into_iter()
             .filter_map(|(subject, input)| {
                 let scaler = held
@@ -356,8 +359,12 @@
                 scaler.decide(&input, now)
             })
             .collect();
-        for order in orders.into_iter().take(MAX_ORDERS) {
-            self.send_order(&order).await;
+        let first = held.orders_sent % orders.len().max(1);
+        orders.rotate_left(first);
+        orders.truncate(MAX_ORDERS);
+        held.orders_sent = held.orders_sent.wrapping_add(orders.len());
+        for order in &orders {
+            self.send_order(order).await;
         }
     }
 
@@ -365,7 +372,7 @@
         let Some(fencing) = self.current_fencing() else { return };
         let stamp = DutyStamp { holder: NodeId::clone(&self.context.settings.node), fencing };
         let sending = self.context.adapter.source().order_engines(&stamp, order);
-        let answer = tokio::time::timeout(CALL_TIMEOUT, sending).await;
+        let answer = tokio::time::timeout(DUTY_CALL_TIMEOUT, sending).await;
         let scalers = self.held.as_mut().map(|held| &mut held.scalers);
         let Some(scaler) = scalers.and_then(|scalers| scalers.get_mut(&order.subject)) else {
             return;
@@ -391,7 +398,7 @@
         if !self.continuity.advanced_alike(Instant::now(), SystemTime::now()) {
             self.lease = self.lease.take().map(JobLease::into_uncertain);
         }
-        self.lease.as_ref()?.fencing(Instant::now() + CALL_TIMEOUT)
+        self.lease.as_ref()?.fencing(Instant::now() + DUTY_CALL_TIMEOUT)
     }
 
     /// Tells the control thread, and with its reports the other routers, what this router holds.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,10 +1,10 @@
 //! The gateway: a router that sends calls straight to upstreams.
 //!
 //! Its supervisor starts, in this order: the control thread, the followers of the source, the
-//! membership task, the writer of move records, the duties, the fetcher of views, the report exchange and the
-//! server for other routers, the maintenance of the connection pool, the overload detector, the
-//! readiness endpoint and the callers' server, which also serves connections that other routers hand
-//! over. The `adapter` module is the interface to the platform.
+//! membership task, the writer of move records, the duties, the fetcher of views, the report
+//! exchange and the server for other routers, the maintenance of the connection pool, the overload
+//! detector, the readiness endpoint and the callers' server, which also serves connections that
+//! other routers hand over. The `adapter` module is the interface to the platform.
 
 mod accept;
 mod adapter;
@@ -70,6 +70,7 @@
     ForwardedCall, GatewayAdapter, GatewayRefusal, HeadError, MemberEntry, MoveRecord, SourceError,
     StoredDuties, StoredLease, StoredMove, WrittenDuties,
 };
+pub use duties::DUTY_CALL_TIMEOUT;
 pub use event_frames::{EventFrames, OversizedEvent};
 pub use observe::GatewayMetrics;
 pub use settings::{DutySettings, GatewaySettings};
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -67,7 +67,7 @@
     pub closed_connections: Counter,
     /// Pending calls.
     pub waiting: Gauge,
-    /// Callers' connections that were closed since they held most and moved least.
+    /// Callers' connections that were closed for room, for memory or for slow reading.
     pub shed_connections: Counter,
     /// Calls in progress at upstreams.
     pub granted: Gauge,
@@ -191,7 +191,7 @@
         );
         registry.register(
             "shed_connections",
-            "Connections of callers that were closed since they held most and moved least",
+            "Connections of callers that were closed for room, for memory or for slow reading",
             self.shed_connections.clone(),
         );
         registry.register("waiting_calls", "Calls without an upstream", self.waiting.clone());
--- a/src/gateway/received_body.rs
+++ b/src/gateway/received_body.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of the segments of a body, in bytes. Many bodies in buffers that grow, or that have
-/// the declared length from the start, left gaps in the heap that doubled the memory of the process.
+/// Maximum size of the segments of a body, in bytes. Segments of one size keep the heap from
+/// fragmenting when many bodies are received at once.
 const SEGMENT_BYTES: usize = 64 << 10;
 
 /// Part of a body that has arrived. A body that arrives at once is not copied.
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -8,7 +8,7 @@
 use super::settings::DutySettings;
 use crate::decision::direct::{PeerReport, PeerTable};
 use crate::decision::duty::{
-    ClosedWindow, DutyStatus, HolderWatch, TrueClock, UsageLedger, WindowSchedule,
+    ClosedWindow, DutyStatus, FleetClock, HolderWatch, UsageLedger, WindowSchedule,
 };
 use crate::ids::{NodeId, TeamId, UsageWindow};
 
@@ -20,7 +20,7 @@
 pub(super) struct UsageState {
     schedule: WindowSchedule,
     ledger: UsageLedger,
-    clock: TrueClock,
+    clock: FleetClock,
     /// True time since the Unix epoch minus the time of day of this VM, in milliseconds.
     correction: i64,
     holder: HolderWatch,
@@ -34,7 +34,7 @@
         Self {
             schedule: settings.schedule,
             ledger: UsageLedger::new(settings.schedule),
-            clock: TrueClock::default(),
+            clock: FleetClock::default(),
             correction: 0,
             holder: HolderWatch::new(now),
             own_status: None,
--- a/tests/testsuite/duty.rs
+++ b/tests/testsuite/duty.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use godwitcrank::decision::duty::{
-    ClockContinuity, ClosedWindow, DutyStatus, HolderWatch, TrueClock, UsageLedger, UsageRecord,
+    ClockContinuity, ClosedWindow, DutyStatus, FleetClock, HolderWatch, UsageLedger, UsageRecord,
     UsageReport, WindowSchedule,
 };
 use godwitcrank::decision::lease::{LeaseClaim, LeaseRow};
@@ -80,7 +80,7 @@
 #[gtest]
 fn now_third_of_clocks_jump() {
     let at = Instant::now();
-    let mut clock = TrueClock::default();
+    let mut clock = FleetClock::default();
     expect_that!(clock.now(START, [], at), eq(START), "no reading of the store yet");
     clock.record_store_time(Duration::from_secs(60), at);
     let offset = clock.own_offset(START, at).expect("the store was read");
@@ -201,3 +201,20 @@
     let lease = lease.refresh(&first, start + term).await;
     expect_that!(lease.fencing(start + term), none());
 }
+
+/// Guards against windows that are forgotten before they are closed, when reports are due many
+/// windows later.
+#[gtest]
+fn close_next_many_windows_until_due() {
+    let schedule = WindowSchedule { length: Duration::from_secs(1), ..SCHEDULE };
+    let silent = [node("r2")];
+    let mut ledger = UsageLedger::new(schedule);
+    ledger.record_start(&TeamId::from("clocks"), START);
+    let window = schedule.window_at(START);
+    for second in 1..=6 {
+        let now = START + Duration::from_secs(second);
+        expect_that!(ledger.close_next(window - 1, &silent, now), none());
+    }
+    let closed = ledger.close_next(window - 1, &silent, START + Duration::from_secs(8));
+    expect_that!(total(closed.as_ref()), some(eq(1)));
+}
