--- a/review/common-2/cache_hang.rs
+++ b/review/common-2/cache_hang.rs
@@ -22,7 +22,11 @@
 const FILL_TIME: Duration = Duration::from_secs(8);
 
 pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
-    let models = Models { count: 3, work: |head| stream_work(head, 2, Duration::from_millis(20)) };
+    let models = Models {
+        count: 3,
+        work: |head| stream_work(head, 2, Duration::from_millis(20)),
+        may_crash: false,
+    };
     let Some(scenario) = Scenario::start(folder, 1, &models) else {
         return Verdict::NotRun;
     };
--- a/review/common-2/cache_memory.rs
+++ b/review/common-2/cache_memory.rs
@@ -23,8 +23,11 @@
 const MODELS: usize = 18;
 
 pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
-    let models =
-        Models { count: MODELS, work: |head| stream_work(head, 2, Duration::from_millis(20)) };
+    let models = Models {
+        count: MODELS,
+        work: |head| stream_work(head, 2, Duration::from_millis(20)),
+        may_crash: false,
+    };
     let Some(mut scenario) = Scenario::start(folder, 2, &models) else {
         return Verdict::NotRun;
     };
--- a/review/common-2/call_memory.rs
+++ b/review/common-2/call_memory.rs
@@ -21,8 +21,11 @@
 const MODELS: usize = 18;
 
 pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
-    let models =
-        Models { count: MODELS, work: |head| stream_work(head, 47, Duration::from_millis(230)) };
+    let models = Models {
+        count: MODELS,
+        work: |head| stream_work(head, 47, Duration::from_millis(230)),
+        may_crash: false,
+    };
     let Some(mut scenario) = Scenario::start(folder, 2, &models) else {
         return Verdict::NotRun;
     };
--- a/review/common-2/crash_memory.rs
+++ b/review/common-2/crash_memory.rs
@@ -31,8 +31,11 @@
 const DOWN_TIME: Duration = Duration::from_secs(4);
 
 pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
-    let models =
-        Models { count: MODELS, work: |head| stream_work(head, 13, Duration::from_millis(230)) };
+    let models = Models {
+        count: MODELS,
+        work: |head| stream_work(head, 13, Duration::from_millis(230)),
+        may_crash: true,
+    };
     let Some(mut scenario) = Scenario::start(folder, 2, &models) else {
         return Verdict::NotRun;
     };
--- a/review/common-2/engine.rs
+++ b/review/common-2/engine.rs
@@ -80,6 +80,8 @@
     pub runs: Runs,
     pub record: Record,
     pub work: fn(&Head) -> Work,
+    /// Whether an engine may crash.
+    pub may_crash: bool,
 }
 
 /// Starts an engine of a service; it runs until the process of the case ends.
@@ -162,7 +164,9 @@
     if is_down(id) {
         return;
     }
-    if let Ok(copy) = stream.try_clone() {
+    if room.may_crash
+        && let Ok(copy) = stream.try_clone()
+    {
         CONNECTIONS.lock().unwrap().push((id.to_owned(), copy));
     }
     let mut connection = Connection::new(stream);
--- a/review/common-2/long_paths.rs
+++ b/review/common-2/long_paths.rs
@@ -21,7 +21,7 @@
 const CROWD_TIME: Duration = Duration::from_secs(25);
 
 pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
-    let models = Models { count: 0, work: |_| plain_work() };
+    let models = Models { count: 0, work: |_| plain_work(), may_crash: false };
     let Some(scenario) = Scenario::start(folder, 1, &models) else {
         return Verdict::NotRun;
     };
--- a/review/common-2/scenario.rs
+++ b/review/common-2/scenario.rs
@@ -78,6 +78,8 @@
 pub struct Models {
     pub count: usize,
     pub work: fn(&Head) -> Work,
+    /// Whether an engine may crash.
+    pub may_crash: bool,
 }
 
 impl Scenario {
@@ -92,6 +94,7 @@
             runs: runs.clone(),
             record: record.clone(),
             work: models.work,
+            may_crash: models.may_crash,
         };
         deployment::start_engines(&room, models.count, 3);
         let machines = (0..gateways)
