--- a/review/common-2/cache_hang.rs
+++ b/review/common-2/cache_hang.rs
@@ -21,20 +21,20 @@
 const CROWD_TIME: Duration = Duration::from_secs(30);
 const FILL_TIME: Duration = Duration::from_secs(8);
 
-pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
+pub fn run(record: &Path, has_trouble: bool) -> Verdict {
     let models = Models {
         count: 3,
         work: |head| stream_work(head, 2, Duration::from_millis(20)),
         may_crash: false,
     };
-    let Some(scenario) = Scenario::start(folder, 1, &models) else {
+    let Some(scenario) = Scenario::start(record, 1, &models) else {
         return Verdict::NotRun;
     };
     let callers = scenario.start_callers(0);
     thread::sleep(Duration::from_secs(3));
     let front = scenario.fleet.gateways[0].front;
     scenario.record.say(format!("{CROWD} clients begin to send prompts of {PARTS} tokens"));
-    let crowd = Crowd::start(front, CROWD, move |number| {
+    let crowd = Crowd::start(&scenario.record, front, CROWD, move |number| {
         let parts = if has_trouble {
             single_token_parts(number, PARTS)
         } else {
--- a/review/common-2/call_memory.rs
+++ b/review/common-2/call_memory.rs
@@ -20,27 +20,32 @@
 /// Engines of the model service, as the sheet says.
 const MODELS: usize = 18;
 
-pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
+pub fn run(record: &Path, has_trouble: bool) -> Verdict {
     let models = Models {
         count: MODELS,
         work: |head| stream_work(head, 47, Duration::from_millis(230)),
         may_crash: false,
     };
-    let Some(mut scenario) = Scenario::start(folder, 2, &models) else {
+    let Some(mut scenario) = Scenario::start(record, 2, &models) else {
         return Verdict::NotRun;
     };
     scenario.record.say(format!("{CROWD} clients a gateway hold streams of {PARTS} tokens"));
     let crowds: Vec<Crowd> = (0..2)
         .map(|gateway| {
-            Crowd::start(scenario.fleet.gateways[gateway].front, CROWD, move |number| {
-                let number = number * 2 + gateway as u64;
-                let parts = if has_trouble {
-                    vec!["1:1"; PARTS].join(",")
-                } else {
-                    three_parts(number, PARTS as u64)
-                };
-                stream_request(&format!("p{number}"), PARTS, &parts)
-            })
+            Crowd::start(
+                &scenario.record,
+                scenario.fleet.gateways[gateway].front,
+                CROWD,
+                move |number| {
+                    let number = number * 2 + gateway as u64;
+                    let parts = if has_trouble {
+                        vec!["1:1"; PARTS].join(",")
+                    } else {
+                        three_parts(number, PARTS as u64)
+                    };
+                    stream_request(&format!("p{number}"), PARTS, &parts)
+                },
+            )
         })
         .collect();
     let time = if has_trouble { CROWD_TIME } else { CROWD_TIME / 2 };
--- a/review/common-2/crash_memory.rs
+++ b/review/common-2/crash_memory.rs
@@ -9,6 +9,7 @@
 
 use crate::Verdict;
 use crate::client;
+use crate::crowd::noted_exchange;
 use crate::engine;
 use crate::scenario::{Models, Scenario, single_token_parts, stream_request, stream_work};
 
@@ -30,13 +31,13 @@
 /// Time after which a crashed engine is back.
 const DOWN_TIME: Duration = Duration::from_secs(4);
 
-pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
+pub fn run(record: &Path, has_trouble: bool) -> Verdict {
     let models = Models {
         count: MODELS,
         work: |head| stream_work(head, 13, Duration::from_millis(230)),
         may_crash: true,
     };
-    let Some(mut scenario) = Scenario::start(folder, 2, &models) else {
+    let Some(mut scenario) = Scenario::start(record, 2, &models) else {
         return Verdict::NotRun;
     };
     let fronts: Vec<_> = scenario.fleet.gateways.iter().map(|gateway| gateway.front).collect();
@@ -47,14 +48,14 @@
             let began = Instant::now();
             record.say(format!("{STREAMS} clients a gateway begin streams of {PARTS} tokens"));
             for front in fronts.iter().flat_map(|front| vec![*front; STREAMS]) {
-                let numbers = Arc::clone(&numbers);
+                let (numbers, record) = (Arc::clone(&numbers), record.clone());
                 thread::spawn(move || {
                     let number = numbers.fetch_add(1, Ordering::Relaxed);
                     let parts = single_token_parts(number, PARTS);
                     let request = stream_request(&format!("p{number}"), PARTS as usize, &parts);
                     if let Ok(mut connection) = client::connect(front, Duration::from_secs(15)) {
                         // How the stream ends is not judged here.
-                        let _ = client::exchange(&mut connection, &request);
+                        let _ = noted_exchange(&record, &mut connection, &request);
                     }
                 });
             }
--- a/review/common-2/crowd.rs
+++ b/review/common-2/crowd.rs
@@ -1,6 +1,6 @@
 //! A crowd of clients that send requests without pause, and ordinary callers beside it.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client;
+use crate::http::{Connection, Head};
 use crate::record::Record;
 
 /// Pause before a client whose connection was closed connects again.
@@ -16,6 +17,31 @@
 /// Time for which a member of a crowd waits for an answer.
 const CROWD_PATIENCE: Duration = Duration::from_secs(60);
 
+/// Requests of a crowd that are noted one by one; further ones are counted each second.
+const NOTED_REQUESTS: u64 = 10_000;
+
+/// Returns the attempt that a request names.
+fn attempt_of(request: &str) -> &str {
+    let line = request.lines().find_map(|line| line.strip_prefix("X-Attempt-Identifier: "));
+    line.unwrap_or("-")
+}
+
+/// Sends a request, reads its answer, and notes both.
+pub fn noted_exchange(
+    record: &Record,
+    connection: &mut Connection,
+    request: &str,
+) -> io::Result<Head> {
+    let attempt = attempt_of(request);
+    record.note(format!("sent {attempt}, {} bytes", request.len()));
+    let answer = client::exchange(connection, request).map(|(head, _)| head);
+    match &answer {
+        Ok(head) => record.note(format!("answer {} to {attempt}", head.status())),
+        Err(error) => record.note(format!("no whole answer to {attempt}: {:?}", error.kind())),
+    }
+    answer
+}
+
 /// A running crowd.
 pub struct Crowd {
     stop: Arc<AtomicBool>,
@@ -27,6 +53,7 @@
     /// Starts `size` clients; each sends what `request` returns for the number of the request,
     /// reads the answer, and goes on.
     pub fn start(
+        record: &Record,
         front: SocketAddr,
         size: usize,
         request: impl Fn(u64) -> String + Send + Sync + 'static,
@@ -34,16 +61,24 @@
         let stop = Arc::new(AtomicBool::new(false));
         let (sent, answered) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
         let request = Arc::new(request);
+        let crowd = Self { stop: stop.clone(), sent: sent.clone(), answered: answered.clone() };
+        crowd.note_counts(record, front);
         for _ in 0..size {
             let (stop, sent, answered) = (stop.clone(), sent.clone(), answered.clone());
+            let record = record.clone();
             let request = Arc::clone(&request);
             thread::spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
                     if let Ok(mut connection) = client::connect(front, CROWD_PATIENCE) {
                         while !stop.load(Ordering::Relaxed) {
                             let number = sent.fetch_add(1, Ordering::Relaxed);
-                            let answer = client::exchange(&mut connection, &request(number));
-                            let Ok((head, _)) = answer else { break };
+                            let request = request(number);
+                            let answer = if number < NOTED_REQUESTS {
+                                noted_exchange(&record, &mut connection, &request)
+                            } else {
+                                client::exchange(&mut connection, &request).map(|(head, _)| head)
+                            };
+                            let Ok(head) = answer else { break };
                             answered.fetch_add(1, Ordering::Relaxed);
                             if head.field("connection").is_some_and(|value| value == "close") {
                                 break;
@@ -54,7 +89,23 @@
                 }
             });
         }
-        Self { stop, sent, answered }
+        crowd
+    }
+
+    /// Notes once a second how much has been sent and answered.
+    fn note_counts(&self, record: &Record, front: SocketAddr) {
+        let (stop, sent, answered) = (self.stop.clone(), self.sent.clone(), self.answered.clone());
+        let record = record.clone();
+        thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_secs(1));
+                record.note(format!(
+                    "crowd at {front}: {} sent, {} answered",
+                    sent.load(Ordering::Relaxed),
+                    answered.load(Ordering::Relaxed)
+                ));
+            }
+        });
     }
 
     /// Stops the crowd.
@@ -121,6 +172,7 @@
                             None => client::connect(front, patience),
                         };
                         let sent = Instant::now();
+                        record.note(format!("sent {attempt}"));
                         let end = match &mut open {
                             Ok(open) => match client::exchange(open, &request(&attempt)) {
                                 Ok((head, _)) if head.status() < 300 => CallEnd::Served,
--- a/review/common-2/long_paths.rs
+++ b/review/common-2/long_paths.rs
@@ -20,9 +20,9 @@
 /// Time for which the crowd stands.
 const CROWD_TIME: Duration = Duration::from_secs(25);
 
-pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
+pub fn run(record: &Path, has_trouble: bool) -> Verdict {
     let models = Models { count: 0, work: |_| plain_work(), may_crash: false };
-    let Some(scenario) = Scenario::start(folder, 1, &models) else {
+    let Some(scenario) = Scenario::start(record, 1, &models) else {
         return Verdict::NotRun;
     };
     let callers = scenario.start_callers(0);
@@ -30,7 +30,7 @@
     let front = scenario.fleet.gateways[0].front;
     let segments = if has_trouble { LONG_PATH } else { SHORT_PATH };
     scenario.record.say(format!("{CROWD} clients begin to send paths of {segments} segments"));
-    let crowd = Crowd::start(front, CROWD, move |number| {
+    let crowd = Crowd::start(&scenario.record, front, CROWD, move |number| {
         let path = format!("/nowhere{}", "/".repeat(segments));
         format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Identifier: x{number}\r\n\r\n")
     });
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -1,5 +1,5 @@
 //! Cases of the second review that are scripts. The first argument names the case, the second one
-//! the folder that gets the record. `TROUBLE=0` leaves the disruption out.
+//! the file that gets the record. `TROUBLE=0` leaves the disruption out.
 
 mod cache_hang;
 mod cache_memory;
@@ -44,8 +44,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (Some(name), Some(folder)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: review-case NAME FOLDER");
+    let (Some(name), Some(record)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: review-case NAME RECORD");
         exit(Verdict::NotRun as i32);
     };
     let Some((_, run)) = CASES.iter().find(|(case, _)| *case == name) else {
@@ -54,7 +54,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     fleet::watch_time();
-    let verdict = run(&PathBuf::from(folder), has_trouble);
+    let verdict = run(&PathBuf::from(record), has_trouble);
     println!("{verdict:?}");
     exit(verdict as i32);
 }
--- a/review/common-2/record.rs
+++ b/review/common-2/record.rs
@@ -14,9 +14,9 @@
 }
 
 impl Record {
-    /// Creates the file `record.txt` in the folder of the case.
-    pub fn create(folder: &Path) -> Self {
-        let file = File::create(folder.join("record.txt")).expect("the record can be written");
+    /// Creates the file of the record.
+    pub fn create(path: &Path) -> Self {
+        let file = File::create(path).expect("the record can be written");
         Self { file: Arc::new(Mutex::new(BufWriter::new(file))), started: Instant::now() }
     }
 
--- a/review/common-2/scenario.rs
+++ b/review/common-2/scenario.rs
@@ -84,8 +84,8 @@
 
 impl Scenario {
     /// Starts store, engines and gateways; `None` if the gateways do not become ready.
-    pub fn start(folder: &Path, gateways: usize, models: &Models) -> Option<Self> {
-        let record = Record::create(folder);
+    pub fn start(record: &Path, gateways: usize, models: &Models) -> Option<Self> {
+        let record = Record::create(record);
         let store = Store::start();
         deployment::configure(&store, &ROUTES);
         let runs = Runs::default();
